--- /dev/null
+++ b/gullhold/policy.py
@@ -0,0 +1,531 @@
+"""All decisions of the gateway: what runs, where, when, with how much memory and at which priority.
+
+A front makes one Gateway(seed, agreement) for each workload manager and calls start, engines, command,
+streaming, noted, ended, client_gone and timer, each with the time in whole microseconds, and gets tuples
+back. gullhold/interface.py defines the Agreement and the tuples, docs/design.md explains the mechanism.
+"""
+
+from collections import deque
+from heapq import heappop, heappush
+from math import exp
+from random import Random
+from statistics import median
+
+from gullhold import interface as api
+
+# Tuned values: each with its unit and the reason for its size.
+THREADS_A_CORE = 2.0      # threads; the design's start for cap and bound
+TICK_US = 20_000          # us; far below any latency target, far above the cost of a look
+MARGIN_US = 30_000        # us before a client timeout or window ends at which we stop: over one tick
+REFIT_US = 10_000_000     # us between fits of a bound, from the design
+WINDOW_US = 800_000       # us a throughput sample lasts: a few commands end in it, little is lost by it
+SAMPLE_AT = (0.4, 0.7)    # P0 and P1 against the cap: far apart, yet P0 does not starve the engine
+PRESSURE = 2.5            # pace against the best seen that is pressure: fair sharing explains less
+FULL_US = 1_000_000       # us a full answer counts as pressure and keeps us off: a few commands' time
+GROW, SHRINK = 0.02, 0.9  # share gained for each answer in want of room, and kept at each step under pressure
+SHRINK_US = 500_000       # us between two shrinks: what a shrink did must show first
+LEAST_SHARE = 0.05        # share of an engine that is never given up: one command or so
+LONG_PART = 0.8           # part of the bound that long commands may fill; the rest stays for short ones
+SHORT = 2.5               # times the shortest latency target that a short command is allowed in all
+QUOTA = (1.0, 2.0, 8.0)   # least, first and most commands a round of the smallest tenant (zeta)
+LIMITS = (0.5, 1.0)       # unfairness and latency variability: half the mean count, a spread like the mean
+FORGET = 0.9              # part of the counts of released commands kept from round to round
+EASE = 0.1                # weight of the newest answer in moving figures: about ten count
+BEST_EASE = 0.01          # pull on the best pace from above: forgets a lucky answer in about a hundred
+NEED_QUANTILE = 0.85      # part of commands whose memory the grant shall cover: spilling costs more than room
+NEED_STEP = 0.04          # step of that quantile's follower: settles within some fifty answers
+FIRST_NEED = 1.25         # grant over the estimate before any answer told the need: the engines' own habit
+SICK = (0.15, 2.0)        # share of failures above the median, least and times, that takes an engine out
+TRIAL_US = 500_000        # us between trials on an engine that is out: a few a second could hurt clients
+SLOW_RUN = 2.5            # times the usual run after which a replayable send is held for a bad plan
+KILLS = (0.2, 2.0)        # further sends for bad plans that each send earns, and the most saved up
+COLD_PART = 0.6           # part of the cold budget that we use: sizes and speeds are guessed
+FIRST_RUN = 0.5           # part of the latency target a run takes when nothing at all is known
+
+HELD, BEHIND, OUT, STREAMING, LEAVING, ORPHAN, ENDED = range(7)
+MOVES = {HELD: (OUT, ENDED), BEHIND: (HELD, ENDED), OUT: (HELD, STREAMING, LEAVING, ORPHAN, ENDED),
+         STREAMING: (ORPHAN, ENDED), LEAVING: (HELD, ORPHAN, ENDED), ORPHAN: (ENDED,), ENDED: ()}
+
+# Figures held for each engine, with their first values.
+ENGINE = {"state": api.GONE, "place": 0, "kind": 0, "cell": 0, "born": 0, "cores": 1.0, "threads": 0,
+          "running": 0, "share": 1.0, "bound": None, "slow": 1.0, "failed": 0.0, "full_until": 0,
+          "trial_at": 0, "shrunk_at": 0, "stage": 0, "stage_at": 0, "work_done": 0.0, "fit_at": 0,
+          "samples": list, "cold_sent": deque, "loads": list}
+
+
+class Command:
+    """One command from its arrival to the outcome of its last send; changes state only in Gateway._move."""
+
+    def __init__(self, ident, profile, tenant, key, timeout_at, need, dataset, order):
+        self.id, self.profile, self.tenant, self.key, self.state = ident, profile, tenant, key, BEHIND
+        self.timeout_at, self.need, self.dataset, self.order, self.entry = timeout_at, need, dataset, order, 0
+        self.sends, self.engine, self.sent_at, self.ran_engine, self.ran_at = 0, -1, 0, -1, 0
+        self.terms, self.late = None, False
+
+
+def fit_bound(p0, rate0, p1, rate1, p2, rate2):
+    """The first local maximum of the paper's throughput curve through three samples, or None."""
+    if min(rate0, rate1, rate2) <= 0 or not 0 < p0 < p1 < p2 or p1 <= 1:
+        return None
+    far1 = (p1 * rate0 / rate1 - p0) / (p0 * (p1 - 1))
+    far2 = (p2 * rate0 / rate2 - p0) / (p0 * (p2 - 1))
+    if far1 <= 0 or far2 <= far1 or far2 / far1 >= (p2 - p0) / (p1 - p0):
+        return None  # no positive B and gamma fit
+    low, high = 1e-6 / (p2 - p0), 50 / (p1 - p0)
+    for _ in range(60):
+        gamma = (low + high) / 2
+        if (1 - exp(-gamma * (p2 - p0))) / (1 - exp(-gamma * (p1 - p0))) > far2 / far1:
+            low = gamma
+        else:
+            high = gamma
+    base = exp(-gamma * p0)
+    b = far1 / (base - exp(-gamma * p1))
+    best, step, p = 0.0, (p2 - p0) / 64, p0
+    while p <= p2:
+        rate = p * rate0 / (p0 + b * p0 * (base - exp(-gamma * p)) * (p - 1))
+        if rate < best:
+            return p - step
+        best, p = rate, p + step
+    return None
+
+
+class Gateway:
+    """The decisions of one workload manager."""
+
+    def __init__(self, seed, agreement):
+        self.deal = agreement
+        chance = Random(seed)
+        self.draw = chance.random
+        self.out, self.now, self.order = [], 0, 0
+        self.commands = {}                                   # id -> Command, while owed or a send is out
+        self.due = []                                        # (time, order, command, sends): looks to take
+        self.lines, self.key_rest = {}, {}                   # commands of an ordered key; until when it rests
+        self.taken, self.extras = deque(), deque()           # times, for the budget of further sends
+        # Profiles: usual work, bias of estimates, need against estimate, best and usual pace, kills saved up.
+        n = len(agreement.profiles)
+        self.usual, self.bias, self.spread = [0.0] * n, [1.0] * n, [FIRST_NEED] * n
+        self.best, self.pace, self.kills = [0.0] * n, [1.0] * n, [KILLS[1]] * n
+        self.short_us = SHORT * min((p.target_us for p in agreement.profiles), default=0)
+        # Tenants, else profiles: weight, held commands (short, long), released, quota left, latency sums.
+        least = min((t.share for t in agreement.tenants if t.share > 0), default=1.0)
+        self.weight = [t.share / least for t in agreement.tenants] or [1.0] * n
+        self.held = [([], []) for _ in self.weight]
+        self.released, self.quota = [0.0 for _ in self.weight], [0 for _ in self.weight]
+        self.latency = [[0.0, 0.0, 0.0] for _ in self.weight]
+        self.zeta, self.rose, self.turn = QUOTA[1], False, 0
+        # Engines: parallel arrays under a dense index.
+        self.index, self.ids = {}, []
+        for name in ENGINE:
+            setattr(self, name, [])
+
+    def start(self, now):
+        """The instance begins."""
+        return [(api.TIMER, TICK_US, 0)]
+
+    def engines(self, now, entries, full):
+        """The list of engines changed; full: engines that are not in it are gone."""
+        self.now, self.out = now, []
+        seen = set()
+        for ident, place, _, kind, state, cell, born in entries:
+            be = self.index.get(ident)
+            if be is None:
+                be = self._new_engine(ident)
+            seen.add(be)
+            if born > self.born[be]:                          # a restart: whatever we knew is void
+                self.slow[be], self.failed[be], self.full_until[be] = 1.0, 0.0, 0
+                self.cold_sent[be].clear()
+            self.state[be], self.place[be], self.kind[be], self.cell[be] = state, place, kind, cell
+            self.born[be] = born
+            cores = self.deal.kind_cores
+            self.cores[be] = cores[kind] if kind < len(cores) else max(cores, default=1.0)
+        if full:
+            for be in range(len(self.ids)):
+                if be not in seen:
+                    self.state[be] = api.GONE
+        return self._release()
+
+    def command(self, now, ident, profile, tenant, key, timeout_at, work, need, dataset, repeat):
+        """A command arrived."""
+        self.now, self.out = now, []
+        self.taken.append(now)
+        if ident in self.commands or profile >= len(self.deal.profiles):
+            return [] if ident in self.commands else [(api.FAIL, ident)]
+        kind, who = self.deal.profiles[profile], tenant if self.deal.tenants else profile
+        self.order += 1
+        cmd = Command(ident, profile, who if who < len(self.weight) else 0, key, timeout_at, need,
+                      dataset, self.order)
+        work = work * self.bias[profile] if work > 0 else self.usual[profile]
+        cmd.work, cmd.threads = work or FIRST_RUN * kind.target_us * kind.threads, kind.threads
+        self.usual[profile] += EASE * (cmd.work - self.usual[profile]) if self.usual[profile] else cmd.work
+        allowed = kind.target_us + kind.target_stretch * cmd.work / kind.threads
+        cmd.target_at, cmd.short = int(now + allowed), allowed <= self.short_us
+        self.commands[ident] = cmd
+        line = self.lines.setdefault(key, deque()) if kind.ordered and key else deque()
+        line.append(cmd)
+        if line[0] is cmd:
+            self._move(cmd, HELD)
+        heappush(self.due, (timeout_at - MARGIN_US, cmd.order, cmd, -1))
+        if now >= timeout_at - MARGIN_US:
+            self._finish(cmd)
+        return self._release()
+
+    def streaming(self, now, ident, send):
+        """A send's answer has begun: it now belongs to the client."""
+        self.now, self.out = now, []
+        cmd = self.commands.get(ident)
+        if cmd and cmd.state == OUT and send == cmd.sends - 1:
+            self._move(cmd, STREAMING)
+        return self.out
+
+    def noted(self, now, ident, send, note, value):
+        """News of a send that is out; nothing is decided by it."""
+        return []
+
+    def ended(self, now, ident, send, outcome, closed, latency, cost, need, report):
+        """A send ended."""
+        self.now, self.out = now, []
+        cmd = self.commands.get(ident)
+        if cmd is None or send != cmd.sends - 1 or cmd.state not in (OUT, STREAMING, LEAVING, ORPHAN):
+            return self.out
+        be, kind, state = cmd.engine, self.deal.profiles[cmd.profile], cmd.state
+        self._account(cmd, be, outcome, latency, cost, need)
+        if outcome not in api.NEVER_RAN and cmd.ran_engine < 0:
+            cmd.ran_engine, cmd.ran_at = be, cmd.sent_at
+        if kind.ordered and cmd.key and outcome in (api.TIMED_OUT, api.RESET, api.CANCELLED):
+            self.key_rest[cmd.key] = now + self.deal.key_rest_us
+        if closed or outcome == api.ANSWERED or state in (ORPHAN, STREAMING):
+            self._move(cmd, ENDED)
+        elif now >= cmd.timeout_at - MARGIN_US or not self._may_resend(cmd):
+            self._finish(cmd)
+        else:
+            self._move(cmd, HELD)
+        return self._release()
+
+    def client_gone(self, now, ident):
+        """The client left; a send that is still out is stopped."""
+        self.now, self.out = now, []
+        cmd = self.commands.get(ident)
+        if cmd and cmd.state in (HELD, BEHIND):
+            self._move(cmd, ENDED)
+        elif cmd and cmd.state != ORPHAN:
+            if cmd.state == OUT and self.deal.may_cancel:
+                self.out.append((api.CANCEL, ident, cmd.sends - 1))
+            self._move(cmd, ORPHAN)
+        return self._release()
+
+    def timer(self, now, token):
+        """The regular look at what time alone changes."""
+        self.now, self.out = now, []
+        self.out.append((api.TIMER, TICK_US, token))
+        while self.due and self.due[0][0] <= now:
+            _, _, cmd, sends = heappop(self.due)
+            if cmd.state in (HELD, BEHIND):
+                self._review_held(cmd)
+            elif cmd.state == OUT and sends == cmd.sends:
+                self._review_send(cmd)
+        for be in self.index.values():
+            self._sample(be)
+        return self._release()
+
+    # States of a command.
+
+    def _move(self, cmd, to):
+        """Every change of a command's state, and the lists and counts that hang on it."""
+        if to not in MOVES[cmd.state]:
+            raise AssertionError(f"command {cmd.id}: {cmd.state} to {to}")
+        step = (to == OUT) - (to in (HELD, ENDED) and cmd.state not in (HELD, BEHIND))
+        if step:
+            self.threads[cmd.engine] += step * cmd.threads
+            self.running[cmd.engine] += step
+        if step and self.deal.profiles[cmd.profile].loads:
+            (self.loads[cmd.engine].append if step > 0 else self.loads[cmd.engine].remove)(cmd.dataset)
+        cmd.state = to
+        if to == HELD:
+            self._hold(cmd)
+        if to == ENDED:
+            del self.commands[cmd.id]
+            line = self.lines.get(cmd.key) if self.deal.profiles[cmd.profile].ordered else None
+            if line:
+                line.remove(cmd)
+                if not line:
+                    del self.lines[cmd.key]
+                elif line[0].state == BEHIND:
+                    self._move(line[0], HELD)
+
+    def _hold(self, cmd):
+        """Into its tenant's held commands, those with the most benefit for their work first."""
+        kind, start_by = self.deal.profiles[cmd.profile], cmd.target_at - self._run_us(cmd)
+        cmd.late = self.now > start_by
+        benefit = kind.benefit * (kind.late_benefit if cmd.late else 1.0)
+        cmd.entry += 1
+        if cmd.ran_engine >= 0 and kind.effect == api.UNIQUED:   # it must not wait past its dedup window
+            heappush(self.due, (cmd.ran_at + kind.dedup_us - MARGIN_US, cmd.order, cmd, cmd.sends))
+        last = cmd.timeout_at - MARGIN_US - self._run_us(cmd) if cmd.late else start_by
+        heappush(self.due, (max(self.now, int(last)) + 1, cmd.order, cmd, cmd.sends))
+        heappush(self.held[cmd.tenant][0 if cmd.short else 1],
+                 (-benefit / max(cmd.work, 1.0), cmd.order, cmd.entry, cmd))
+
+    def _run_us(self, cmd):
+        """How long it would run on an ordinary engine, as commands of its profile run at present."""
+        return cmd.work / cmd.threads * self.pace[cmd.profile]
+
+    def _review_held(self, cmd):
+        """A held command whose time is up, or that can't make its latency target any more."""
+        kind = self.deal.profiles[cmd.profile]
+        last = cmd.timeout_at - MARGIN_US if kind.late_benefit else cmd.target_at
+        if (self.now + self._run_us(cmd) > last or self.now >= cmd.timeout_at - MARGIN_US or
+                not self._may_resend(cmd)):
+            self._finish(cmd)
+        elif cmd.state == HELD:
+            self._hold(cmd)
+
+    def _review_send(self, cmd):
+        """A replayable send that runs far past the usual (bad plan or engine): start afresh elsewhere.
+
+        Guards against: bad plans, slow or standing engines. The usual pace follows the fleet, so a slowdown
+        of all stops it, and so does its allowance. Harm: work thrown away when the estimate was far too low.
+        """
+        kind = self.deal.profiles[cmd.profile]
+        fresh = self._run_us(cmd)
+        until = cmd.timeout_at - MARGIN_US if kind.late_benefit else cmd.target_at
+        if (self.now + fresh > until or self.kills[cmd.profile] < 1 or not self._may_resend(cmd) or
+                not self.deal.may_cancel):
+            return
+        self.kills[cmd.profile] -= 1
+        self.out.append((api.CANCEL, cmd.id, cmd.sends - 1))
+        self._move(cmd, LEAVING)
+
+    def _finish(self, cmd):
+        """The final answer: shed where trying again does no harm, else failed."""
+        may = self._may_shed(cmd)
+        self.out.append((api.SHED, cmd.id, self.deal.come_back_us) if may else (api.FAIL, cmd.id))
+        self._move(cmd, ENDED)
+
+    # Rules. Every send passes _may_resend, _may_start and _allowed.
+
+    def _may_shed(self, cmd):
+        kind = self.deal.profiles[cmd.profile]
+        if kind.effect == api.REPLAYABLE or cmd.ran_engine < 0:
+            return True
+        return (kind.effect == api.UNIQUED and kind.dedup_scope == api.ALL and
+                self.now < cmd.ran_at + kind.dedup_us)
+
+    def _may_resend(self, cmd):
+        """Whether one more send can ever be allowed: effect, dedup window, cap."""
+        kind = self.deal.profiles[cmd.profile]
+        if 0 < self.deal.sends_cap <= cmd.sends:
+            return False
+        if cmd.ran_engine < 0 and cmd.state != OUT or kind.effect == api.REPLAYABLE:
+            return True
+        ran_at = cmd.ran_at if cmd.ran_engine >= 0 else cmd.sent_at
+        return kind.effect == api.UNIQUED and self.now + MARGIN_US < ran_at + kind.dedup_us
+
+    def _may_start(self, cmd):
+        """Whether a send is allowed at this moment: key at rest, budget of further sends."""
+        if self.now >= cmd.timeout_at - MARGIN_US or not self._may_resend(cmd):
+            return False
+        if (not cmd.sends and self.deal.profiles[cmd.profile].ordered and
+                self.now < self.key_rest.get(cmd.key, 0)):
+            return False
+        if not cmd.sends or self.deal.extra_free is None:
+            return True
+        since = self.now - self.deal.extra_us
+        for times in (self.taken, self.extras):
+            while times and times[0] <= since:
+                times.popleft()
+        return len(self.extras) + 1 <= self.deal.extra_free + self.deal.extra_share * len(self.taken)
+
+    def _allowed(self, cmd, be):
+        """Whether the rules let this command go to this engine now."""
+        kind = self.deal.profiles[cmd.profile]
+        if self.state[be] != api.READY:
+            return False
+        if kind.locations is not None and self.place[be] not in kind.locations or (
+                kind.kinds is not None and self.kind[be] not in kind.kinds):
+            return False
+        if kind.effect == api.UNIQUED and cmd.ran_engine >= 0:
+            group = {api.ALL: self.state, api.LOCATION: self.place, api.CELL: self.cell}[kind.dedup_scope]
+            if kind.dedup_scope != api.ALL and group[be] != group[cmd.ran_engine]:
+                return False
+        if not self._cold(be):
+            return True
+        # A cold engine gets our part of what it can stand, its present capacity guessed at its lowest.
+        sent, since = self.cold_sent[be], self.now - self.deal.fall_us
+        while sent and sent[0][0] <= since:
+            sent.popleft()
+        budget = (self.deal.fall_multiple * self.deal.cold_from * self.cores[be] * self.deal.fall_us *
+                  COLD_PART / self.deal.managers)
+        return sum(work for _, work in sent) + self.usual[cmd.profile] <= budget
+
+    def _cold(self, be):
+        return 0 < self.born[be] > self.now - self.deal.cold_us
+
+    # Engines: bound, choice, health.
+
+    def _new_engine(self, ident):
+        be = self.index[ident] = len(self.ids)
+        self.ids.append(ident)
+        for name, first in ENGINE.items():
+            getattr(self, name).append(first() if callable(first) else first)
+        self.share[be] = 1.0 / self.deal.managers
+        return be
+
+    def _pressed(self, be):
+        return self.slow[be] > PRESSURE or self.now < self.full_until[be]
+
+    def _limit(self, be):
+        """The bound on our threads there: the cap, and under pressure the fit or the sample being taken."""
+        cap = THREADS_A_CORE * self.cores[be] * self.share[be]
+        if self._pressed(be) and self.stage[be]:
+            return cap * (1.0, SAMPLE_AT[1], SAMPLE_AT[0])[self.stage[be] - 1]
+        return min(cap, self.bound[be]) if self._pressed(be) and self.bound[be] else cap
+
+    def _sample(self, be):
+        """Throughput at the cap, at P1 and at P0, each for a window under pressure, then the fit."""
+        if not self._pressed(be):
+            self.stage[be] = 0
+            return
+        if not self.stage[be]:
+            if self.now >= self.fit_at[be] and not any(self.stage):   # one engine at a time: no swing in step
+                self.fit_at[be] = self.now + REFIT_US
+                self.stage[be], self.stage_at[be], self.work_done[be] = 1, self.now, 0.0
+                self.samples[be] = []
+            return
+        if self.now < self.stage_at[be] + WINDOW_US:
+            return
+        self.samples[be].append((self._limit(be), self.work_done[be] / (self.now - self.stage_at[be])))
+        self.stage_at[be], self.work_done[be] = self.now, 0.0
+        self.stage[be] += 1
+        if self.stage[be] > 3:
+            (p2, rate2), (p1, rate1), (p0, rate0) = self.samples[be]
+            self.bound[be] = fit_bound(p0, rate0, p1, rate1, p2, rate2)
+            self.stage[be] = 0
+
+    def _room(self, cmd, be):
+        limit = self._limit(be) * (1.0 if cmd.short else LONG_PART)
+        fits = not self.running[be] or self.threads[be] + cmd.threads <= limit
+        return fits and self.now >= self.full_until[be]
+
+    def _choose(self, cmd):
+        """Two drawn at random among those allowed and under their bound; the one our own counts favour."""
+        ready = [be for be in range(len(self.ids)) if self._allowed(cmd, be) and self._room(cmd, be) and
+                 self._healthy(cmd, be)]
+        if self.deal.crossing_costs:
+            ready = [be for be in ready if self.place[be] == self.deal.location] or ready
+        if not ready:
+            return -1
+        if len(ready) > 1:
+            first = int(self.draw() * len(ready))
+            second = int(self.draw() * (len(ready) - 1))
+            second += second >= first
+            ready = [ready[first], ready[second]]
+        return min(ready, key=lambda be: self._weigh(cmd, be))
+
+    def _weigh(self, cmd, be):
+        """Our threads there against size and pace; a load that holds its data set comes last."""
+        kind = self.deal.profiles[cmd.profile]
+        stuck = cmd.dataset in self.loads[be] and (kind.loads or kind.stands_still)
+        return stuck, (self.threads[be] + cmd.threads) * self.slow[be] / self.cores[be]
+
+    def _healthy(self, cmd, be):
+        """An engine that fails far more than the fleet's median gets only a trial now and then.
+
+        Guards against: engines failing fast, down, unreachable. When most fail alike none stands out.
+        """
+        usual = median([self.failed[i] for i in self.index.values() if self.state[i] == api.READY])
+        return self.failed[be] <= SICK[0] + SICK[1] * usual or (
+            cmd.short and self.deal.profiles[cmd.profile].effect == api.REPLAYABLE and
+            self.now >= self.trial_at[be])
+
+    def _account(self, cmd, be, outcome, latency, cost, need):
+        """What an outcome tells about its engine and its profile."""
+        p = cmd.profile
+        if outcome in (api.ERROR, api.RESET, api.NO_CONNECTION, api.ANSWERED):
+            self.failed[be] += EASE * ((outcome != api.ANSWERED) - self.failed[be])
+        if outcome == api.FULL:
+            self.full_until[be] = self.now + FULL_US
+        if outcome != api.ANSWERED:
+            return
+        if cost:
+            self.bias[p] += EASE * (min(max(cost / cmd.work, 0.2), 5.0) - 1.0) * self.bias[p]
+        if need and cmd.need:
+            over = need > self.spread[p] * cmd.need
+            self.spread[p] += NEED_STEP * (NEED_QUANTILE if over else NEED_QUANTILE - 1.0)
+        work = cost or cmd.work
+        self.work_done[be] += work
+        pace = max(latency * cmd.threads / work, 0.01)
+        self.best[p] = min(pace, self.best[p] * (1 - BEST_EASE) + pace * BEST_EASE) if self.best[p] else pace
+        self.pace[p] += EASE * (min(pace, 3 * self.pace[p]) - self.pace[p])
+        self.slow[be] += EASE * (min(pace / self.best[p], 10.0) - self.slow[be])
+        sums = self.latency[cmd.tenant]
+        for i, value in enumerate((1.0, pace, pace * pace)):
+            sums[i] += EASE * (value - sums[i])
+        if not self._pressed(be):
+            self.share[be] = min(1.0, self.share[be] + GROW * any(short or long for short, long in self.held))
+        elif self.now >= self.shrunk_at[be] + SHRINK_US:
+            self.share[be], self.shrunk_at[be] = max(LEAST_SHARE, self.share[be] * SHRINK), self.now
+
+    # Release: weighted round-robin with zeta.
+
+    def _release(self):
+        """Send held commands while an engine has room for one of the tenant in turn."""
+        tenants = range(len(self.weight))
+        while True:
+            # Those without quota left come last: they only use room that the others can't.
+            order = sorted(tenants, key=lambda t: (self.quota[t] < 1, (t - self.turn) % len(tenants)))
+            went = next((t for t in order if self._release_one(t)), None)
+            if went is None:
+                return self.out
+            self.quota[went] -= 1
+            self.released[went] += 1
+            self.turn = went if self.quota[went] > 0 else (went + 1) % len(tenants)
+            if not any(self.quota[t] > 0 and any(self.held[t]) for t in tenants):
+                self._new_round()
+
+    def _new_round(self):
+        """Each tenant gets its weight times zeta; zeta follows unfairness and latency variability."""
+        counts = [n / w for n, w in zip(self.released, self.weight, strict=True) if w > 0]
+        mean = sum(counts) / len(counts) if counts else 0.0
+        unfair = max(abs(n - mean) for n in counts) / mean if mean else 0.0
+        spreads = [max(s2 * n / s1 ** 2 - 1, 0.0) ** 0.5 for n, s1, s2 in self.latency if s1]
+        vary = sum(spreads) / len(spreads) if spreads else 0.0
+        if unfair < LIMITS[0] / 2 and vary < LIMITS[1] / 2:
+            self.zeta, self.rose = min(self.zeta + 1, QUOTA[2]), True
+        elif self.rose and (unfair > LIMITS[0] or vary > LIMITS[1]):
+            self.zeta, self.rose = max(self.zeta / 2, QUOTA[0]), False
+        for i, weight in enumerate(self.weight):
+            self.quota[i] = max(1, round(weight * self.zeta))
+            self.released[i] *= FORGET
+
+    def _release_one(self, tenant):
+        """Send the tenant's best held command that fits anywhere; whether one went."""
+        for heap in sorted(self.held[tenant], key=lambda heap: heap[0][0] if heap else 0.0):
+            while heap and (heap[0][3].state != HELD or heap[0][3].entry != heap[0][2]):
+                heappop(heap)
+            be = self._choose(heap[0][3]) if heap and self._may_start(heap[0][3]) else -1
+            if be >= 0:
+                self._send(heappop(heap)[3], be)
+                return True
+        return False
+
+    def _send(self, cmd, be):
+        kind, deal = self.deal.profiles[cmd.profile], self.deal
+        memory = deal.kind_memory_mb[self.kind[be]] if self.kind[be] < len(deal.kind_memory_mb) else 0.0
+        grant = min(cmd.need * self.spread[cmd.profile], deal.most_grant * memory or 1e9)
+        terms = (grant, 3 if cmd.short else 1)
+        if terms != cmd.terms and (deal.heeds_grants or deal.heeds_priority):
+            cmd.terms = terms
+            self.out.append((api.TERMS, cmd.id, *terms))
+        if cmd.sends:
+            self.extras.append(self.now)
+        if self.failed[be] > SICK[0]:
+            self.trial_at[be] = self.now + TRIAL_US
+        if self._cold(be):
+            self.cold_sent[be].append((self.now, self.usual[cmd.profile]))
+        cmd.engine, cmd.sent_at = be, self.now
+        cmd.sends += 1
+        self.kills[cmd.profile] = min(KILLS[1], self.kills[cmd.profile] + KILLS[0])
+        self._move(cmd, OUT)
+        self.out.append((api.SEND, cmd.id, self.ids[be], cmd.timeout_at - MARGIN_US))
+        if kind.effect == api.REPLAYABLE:
+            heappush(self.due, (int(self.now + SLOW_RUN * self._run_us(cmd)), cmd.order, cmd, cmd.sends))
--- /dev/null
+++ b/tests/test_policy.py
@@ -0,0 +1,164 @@
+"""The decision module without the bench: the rules under random calls, the fit, and failures once found."""
+
+from math import exp
+
+import pytest
+from driver import MS, START, Driver, agreement, profile
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from gullhold import interface as api
+from gullhold.policy import fit_bound
+
+READY4 = [(ident, ident % 2, ident % 2, api.READY, ident % 3, 0) for ident in range(4)]
+STEP = st.tuples(st.integers(0, 11), st.integers(0, 9999))
+DEALS = [
+    agreement(profile(), profile(effect=api.NON_REPLAYABLE, threads=3),
+              profile(effect=api.UNIQUED, dedup_scope=api.LOCATION, target_us=2000 * MS),
+              tenants=(api.Tenant(0.7, 50.0), api.Tenant(0.3, 10.0))),
+    agreement(profile(effect=api.UNIQUED, ordered=True), profile(ordered=True, late_benefit=0.0),
+              profile(effect=api.UNIQUED, dedup_scope=api.CELL), extra_free=2.0, extra_share=0.2,
+              extra_us=2000 * MS, managers=3),
+    agreement(profile(locations=frozenset((1,))), profile(kinds=frozenset((0,)), effect=api.NON_REPLAYABLE),
+              profile(effect=api.UNIQUED, ordered=True, locations=frozenset((0,)), kinds=frozenset((0,))),
+              managers=2, crossing_costs=True, heeds_grants=False, heeds_priority=False, sends_cap=6),
+]
+
+
+def play(deal, steps):
+    """One random run; returns all that the module asked for."""
+    world = Driver(deal)
+    for kind, number in steps:
+        out = world.out()
+        if kind <= 4:
+            world.command(number % len(deal.profiles), tenant=number % 3, key=number % 4,
+                          timeout_us=(200 + number % 3800) * MS)
+        elif kind <= 7 and out:
+            world.end(out[number % len(out)], number % 8, cost=100 * MS)
+        elif kind == 8:
+            born = world.now if number % 3 == 0 else 0
+            world.engines((number % 5, number % 2, number // 7 % 2, number // 10 % 3, number // 30 % 3, born),
+                          full=number % 11 == 0)
+        elif kind == 9 and out:
+            world.leave(out[number % len(out)])
+        else:
+            world.wait(number % 700 * MS)
+    world.wait(5000 * MS)
+    for ident in world.out():
+        world.end(ident, api.RESET)
+    assert not world.gateway.commands and not world.gateway.lines
+    assert not any(world.gateway.threads) and not any(world.gateway.running) and not any(world.gateway.loads)
+    return world.log
+
+
+@pytest.mark.parametrize("deal", DEALS)
+@settings(derandomize=True, deadline=None, max_examples=40, database=None,
+          suppress_health_check=list(HealthCheck), phases=[Phase.generate])
+@given(steps=st.lists(STEP, min_size=20, max_size=70))
+def test_rules_hold_at_every_step(deal, steps):
+    first = [(8, 0), (8, 21), (8, 12), (8, 33)]
+    assert play(deal, first + steps) == play(deal, first + steps)   # and same calls, same decisions
+
+
+@pytest.mark.parametrize(("b", "gamma"), [(0.5, 0.05), (0.1, 0.2), (1.5, 0.02)])
+def test_fit_finds_the_peak_of_a_known_curve(b, gamma):
+    def rate(p):
+        return p * 9.0 / (4 + b * 4 * (exp(-gamma * 4) - exp(-gamma * p)) * (p - 1))
+
+    grid = [4 + i / 100 for i in range(5600)]
+    peak = next((p for p, q in zip(grid, grid[1:], strict=False) if rate(q) < rate(p)), None)
+    found = fit_bound(4, rate(4), 20, rate(20), 60, rate(60))
+    assert (found is None and peak is None) or abs(found - peak) < 2
+
+
+@pytest.mark.parametrize("rates", [(1.0, 2.0, 3.0), (0.0, 1.0, 1.0), (1.0, 0.0, 0.0), (5.0, 30.0, 4.0)])
+def test_fit_without_a_valid_peak_is_none(rates):
+    assert fit_bound(10, rates[0], 20, rates[1], 30, rates[2]) is None
+    assert fit_bound(10, 1.0, 10, 1.0, 30, 1.0) is None
+
+
+def test_equal_throughputs_peak_at_the_smallest_sample():
+    assert fit_bound(10, 4.0, 20, 4.0, 40, 4.0) is None or fit_bound(10, 4.0, 20, 4.0, 40, 4.0) < 20
+
+
+def test_held_commands_stay_under_the_cap_and_one_may_always_go():
+    world = Driver(agreement(profile(threads=3), managers=4))
+    world.engines((1, 0, 1, api.READY, 0, 0))            # two cores: a cap of one thread for this gateway
+    for _ in range(5):
+        world.command()
+    assert len(world.out()) == 1
+    world.end(world.out()[0], api.ANSWERED)
+    assert len(world.out()) == 1
+
+
+def test_tenants_are_released_by_weight_under_pressure():
+    world = Driver(agreement(profile(target_us=60_000 * MS, timeout_us=90_000 * MS),
+                             tenants=(api.Tenant(0.75, 9.0), api.Tenant(0.25, 9.0))))
+    world.engines((1, 0, 1, api.READY, 0, 0))
+    for i in range(400):
+        world.command(tenant=i % 2)
+    sent = [0, 0]
+    for _ in range(150):
+        ident = world.out()[0]
+        sent[(ident - 1) % 2] += 1
+        world.now += 100 * MS
+        world.end(ident, api.ANSWERED)
+    assert 0.6 < sent[0] / sum(sent) < 0.85
+
+
+def test_nothing_is_held_past_its_time_with_no_engine_at_all():
+    world = Driver(agreement(profile(late_benefit=0.0), profile(effect=api.NON_REPLAYABLE)))
+    never, late = world.command(0), world.command(1)
+    world.wait(4100 * MS)
+    assert world.commands[never]["final"] == world.commands[late]["final"] == api.SHED
+
+
+def test_strange_input_is_passed_over():
+    world = Driver(agreement(tenants=(api.Tenant(1.0, 9.0),), kind_cores=(), kind_memory_mb=()))
+    world.engines(*READY4)
+    assert world.gateway.ended(world.now, 77, 0, api.ANSWERED, True, 5, 0, 0, ()) == []
+    assert world.gateway.client_gone(world.now, 77) == []
+    unknown = world.gateway.command(world.now, 900, 5, 0, 0, world.now + MS, 0, 0.0, 0, False)
+    assert unknown == [(api.FAIL, 900)]
+    world.command(0, tenant=9, work=0)
+    assert len(world.out()) == 1
+
+
+def test_a_failing_engine_is_left_but_for_trials():
+    world = Driver(agreement())
+    world.engines(*READY4)
+    sent = [0, 0]
+    for i in range(300):
+        ident = world.command()
+        engine = world.commands[ident]["out"][0]
+        sent[i // 150] += engine == 0
+        world.now += 20 * MS
+        world.end(ident, api.ERROR if engine == 0 else api.ANSWERED)
+        while world.commands[ident]["out"]:
+            world.end(ident, api.ANSWERED)
+    assert sent[1] <= 10
+
+
+def test_a_bad_plan_is_started_afresh_elsewhere():
+    world = Driver(agreement(profile(timeout_us=20_000 * MS)))
+    world.engines(*READY4)
+    for _ in range(20):
+        ident = world.command()
+        world.now += 100 * MS
+        world.end(ident, api.ANSWERED)
+    ident = world.command()
+    world.wait(400 * MS)
+    assert (api.CANCEL, ident, 0) in world.log
+    world.end(ident, api.CANCELLED)
+    assert len(world.commands[ident]["sends"]) == 2
+
+
+def test_a_restart_makes_an_engine_cold_again():
+    world = Driver(agreement(managers=1))
+    world.engines((1, 0, 0, api.READY, 0, 0))
+    world.engines((1, 0, 0, api.READY, 0, START))
+    for _ in range(200):
+        if not world.out():
+            world.command()
+        world.end(world.out()[0], api.ANSWERED) if world.out() else world.wait(20 * MS)
+    assert world.cold[1]
