Judge an engine's pace by work, count sends cut off, move the share with work

Now an answer weighs by its work, a send cut off counts with the pace it had reached, and share and pace move on the same clock. Also guards against any jam that ends in time-outs. Harm: few long commands, slow to react.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -22,8 +22,7 @@
 SAMPLE_AT = (0.4, 0.7)    # P0 and P1 against the cap: far apart, yet P0 does not starve the engine
 PRESSURE = 2.5            # pace against the best seen that is pressure: fair sharing explains less
 FULL_US = 1_000_000       # us a full answer counts as pressure and keeps us off: a few commands' time
-GROW, SHRINK = 0.02, 0.9  # share gained for each answer in want of room, and kept at each step under pressure
-SHRINK_US = 500_000       # us between two shrinks: what a shrink did must show first
+STEADY = 4.0              # long commands' work that outweighs the newest in an engine's pace: few end a second
 LEAST_SHARE = 0.05        # share of an engine that is never given up: one command or so
 LONG_PART = 0.8           # part of the bound that long commands may fill; the rest stays for short ones
 SHORT = 2.5               # times the shortest latency target that a short command is allowed in all
@@ -37,7 +36,7 @@
 FIRST_NEED = 1.25         # grant over the estimate before any answer told the need: the engines' own habit
 SICK = (0.15, 2.0)        # share of failures above the median, least and times, that takes an engine out
 TRIAL_US = 500_000        # us between trials on an engine that is out: a few a second could hurt clients
-SLOW_RUN = 2.5            # times the usual run after which a replayable send is held for a bad plan
+SLOW_RUN = 1.8            # times the usual run after which a replayable send is held for a bad plan
 KILLS = (0.2, 2.0)        # further sends for bad plans that each send earns, and the most saved up
 COLD_PART = 0.6           # part of the cold budget that we use: sizes and speeds are guessed
 FIRST_RUN = 0.5           # part of the latency target a run takes when nothing at all is known
@@ -49,7 +48,7 @@
 # Figures held for each engine, with their first values.
 ENGINE = {"state": api.GONE, "place": 0, "kind": 0, "cell": 0, "born": 0, "cores": 1.0, "threads": 0,
           "running": 0, "share": 1.0, "bound": None, "slow": 1.0, "failed": 0.0, "full_until": 0,
-          "trial_at": 0, "shrunk_at": 0, "stage": 0, "stage_at": 0, "work_done": 0.0, "fit_at": 0,
+          "trial_at": 0, "stage": 0, "stage_at": 0, "work_done": 0.0, "fit_at": 0,
           "samples": list, "cold_sent": deque, "loads": list}
 
 
@@ -104,7 +103,7 @@
         # Profiles: usual work, bias of estimates, need against estimate, best and usual pace, kills saved up.
         n = len(agreement.profiles)
         self.usual, self.bias, self.spread = [0.0] * n, [1.0] * n, [FIRST_NEED] * n
-        self.best, self.pace, self.kills = [0.0] * n, [1.0] * n, [KILLS[1]] * n
+        self.best, self.pace, self.kills = [1e9] * n, [1.0] * n, [KILLS[1]] * n
         self.short_us = SHORT * min((p.target_us for p in agreement.profiles), default=0)
         # Tenants, else profiles: weight, held commands (short, long), released, quota left, latency sums.
         least = min((t.share for t in agreement.tenants if t.share > 0), default=1.0)
@@ -444,26 +443,28 @@
             self.failed[be] += EASE * ((outcome != api.ANSWERED) - self.failed[be])
         if outcome == api.FULL:
             self.full_until[be] = self.now + FULL_US
-        if outcome != api.ANSWERED:
+        if outcome not in (api.ANSWERED, api.TIMED_OUT, api.CANCELLED):
             return
-        if cost:
+        if outcome == api.ANSWERED and cost:
             self.bias[p] += EASE * (min(max(cost / cmd.work, 0.2), 5.0) - 1.0) * self.bias[p]
         if need and cmd.need:
-            over = need > self.spread[p] * cmd.need
-            self.spread[p] += NEED_STEP * (NEED_QUANTILE if over else NEED_QUANTILE - 1.0)
+            self.spread[p] += NEED_STEP * (NEED_QUANTILE - (need <= self.spread[p] * cmd.need))
+        # A send cut off tells a pace too, at the least: counting only answers would hide a jam.
         work = cost or cmd.work
-        self.work_done[be] += work
         pace = max(latency * cmd.threads / work, 0.01)
-        self.best[p] = min(pace, self.best[p] * (1 - BEST_EASE) + pace * BEST_EASE) if self.best[p] else pace
         self.pace[p] += EASE * (min(pace, 3 * self.pace[p]) - self.pace[p])
-        self.slow[be] += EASE * (min(pace / self.best[p], 10.0) - self.slow[be])
-        sums = self.latency[cmd.tenant]
-        for i, value in enumerate((1.0, pace, pace * pace)):
-            sums[i] += EASE * (value - sums[i])
-        if not self._pressed(be):
-            self.share[be] = min(1.0, self.share[be] + GROW * any(short or long for short, long in self.held))
-        elif self.now >= self.shrunk_at[be] + SHRINK_US:
-            self.share[be], self.shrunk_at[be] = max(LEAST_SHARE, self.share[be] * SHRINK), self.now
+        if outcome == api.ANSWERED:
+            self.work_done[be] += work
+            self.best[p] = min(pace, self.best[p] + BEST_EASE * (pace - self.best[p]))
+        # By work, since short commands at high priority feel no jam.
+        weigh = work / (work + STEADY * max(self.usual))
+        self.slow[be] += weigh * (min(pace / min(pace, self.best[p]), 10.0) - self.slow[be])
+        self.latency[cmd.tenant] = [old + EASE * (new - old) for old, new in zip(
+            self.latency[cmd.tenant], (1.0, pace, pace * pace), strict=True)]
+        if self._pressed(be):
+            self.share[be] = max(LEAST_SHARE, self.share[be] * (1 - weigh))
+        elif any(short or long for short, long in self.held):
+            self.share[be] = min(1.0, self.share[be] + weigh / self.deal.managers)
 
     # Release: weighted round-robin with zeta.
 
