Notes of progress spare sends that will soon be done

Where notes tell a share done, the time left at that pace must exceed a fresh run. Harm: an early, rough note can spare a bad plan for good.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -59,7 +59,7 @@
         self.id, self.profile, self.tenant, self.key, self.state = ident, profile, tenant, key, BEHIND
         self.timeout_at, self.need, self.dataset, self.order, self.entry = timeout_at, need, dataset, order, 0
         self.sends, self.engine, self.sent_at, self.ran_engine, self.ran_at = 0, -1, 0, -1, 0
-        self.terms, self.late = None, False
+        self.terms, self.late, self.done = None, False, 0.0
 
 
 def fit_bound(p0, rate0, p1, rate1, p2, rate2):
@@ -177,7 +177,10 @@
         return self.out
 
     def noted(self, now, ident, send, note, value):
-        """News of a send that is out; nothing is decided by it."""
+        """News of a send that is out."""
+        cmd = self.commands.get(ident)
+        if cmd and cmd.state == OUT and send == cmd.sends - 1 and note == api.PROGRESS:
+            cmd.done = max(value, 0.01)
         return []
 
     def ended(self, now, ident, send, outcome, closed, latency, cost, need, report):
@@ -226,8 +229,6 @@
             self._sample(be)
         return self._release()
 
-    # States of a command.
-
     def _move(self, cmd, to):
         """Every change of a command's state, and the lists and counts that hang on it."""
         if to not in MOVES[cmd.state]:
@@ -290,6 +291,8 @@
         if (self.now + fresh > until or self.kills[cmd.profile] < 1 or not self._may_resend(cmd) or
                 not self.deal.may_cancel):
             return
+        if cmd.done and (self.now - cmd.sent_at) * (1 / cmd.done - 1) < SLOW_RUN * fresh:
+            return    # notes tell that it will soon be done
         self.kills[cmd.profile] -= 1
         self.out.append((api.CANCEL, cmd.id, cmd.sends - 1))
         self._move(cmd, LEAVING)
@@ -359,8 +362,6 @@
     def _cold(self, be):
         return 0 < self.born[be] > self.now - self.deal.cold_us
 
-    # Engines: bound, choice, health.
-
     def _new_engine(self, ident):
         be = self.index[ident] = len(self.ids)
         self.ids.append(ident)
@@ -402,8 +403,8 @@
 
     def _room(self, cmd, be):
         limit = self._limit(be) * (1.0 if cmd.short else LONG_PART)
-        fits = not self.running[be] or self.threads[be] + cmd.threads <= limit
-        return fits and self.now >= self.full_until[be]
+        return self.now >= self.full_until[be] and (
+            not self.running[be] or self.threads[be] + cmd.threads <= limit)
 
     def _choose(self, cmd):
         """Two drawn at random among those allowed and under their bound; the one our own counts favour."""
@@ -411,14 +412,12 @@
                  self._healthy(cmd, be)]
         if self.deal.crossing_costs:
             ready = [be for be in ready if self.place[be] == self.deal.location] or ready
-        if not ready:
-            return -1
         if len(ready) > 1:
             first = int(self.draw() * len(ready))
             second = int(self.draw() * (len(ready) - 1))
             second += second >= first
             ready = [ready[first], ready[second]]
-        return min(ready, key=lambda be: self._weigh(cmd, be))
+        return min(ready, key=lambda be: self._weigh(cmd, be), default=-1)
 
     def _weigh(self, cmd, be):
         """Our threads there against size and pace; a load that holds its data set comes last."""
@@ -466,8 +465,6 @@
         elif any(short or long for short, long in self.held):
             self.share[be] = min(1.0, self.share[be] + weigh / self.deal.managers)
 
-    # Release: weighted round-robin with zeta.
-
     def _release(self):
         """Send held commands while an engine has room for one of the tenant in turn."""
         tenants = range(len(self.weight))
@@ -523,7 +520,7 @@
             self.trial_at[be] = self.now + TRIAL_US
         if self._cold(be):
             self.cold_sent[be].append((self.now, self.usual[cmd.profile]))
-        cmd.engine, cmd.sent_at = be, self.now
+        cmd.engine, cmd.sent_at, cmd.done = be, self.now, 0.0
         cmd.sends += 1
         self.kills[cmd.profile] = min(KILLS[1], self.kills[cmd.profile] + KILLS[0])
         self._move(cmd, OUT)
