Share never under half the first one: the whole fleet slow must not starve itself

Cause: in a slowdown of all engines the pace rises though nothing is jammed, and the share shrank to almost nothing. Guards also against a best pace that was luck. Harm: gateways together never go under a thread a core.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -23,7 +23,7 @@
 PRESSURE = 1.8            # pace against the best seen that is pressure: sharing cores in turn explains less
 FULL_US = 1_000_000       # us a full answer counts as pressure and keeps us off: a few commands' time
 STEADY = 4.0              # long commands' work that outweighs the newest in an engine's pace: few end
-LEAST_SHARE = 0.05        # share of an engine that is never given up: one command or so
+LEAST_SHARE = 0.5         # part of the first share never given up: a thread a core, all gateways together
 LONG_PART = 0.8           # part of the bound that long commands may fill; the rest stays for short ones
 SHORT = 2.5               # times the shortest latency target that a short command is allowed in all
 QUOTA = (1.0, 2.0, 8.0)   # least, first and most commands a round of the smallest tenant (zeta)
@@ -461,7 +461,7 @@
         self.latency[cmd.tenant] = [old + EASE * (new - old) for old, new in zip(
             self.latency[cmd.tenant], (1.0, pace, pace * pace), strict=True)]
         if self._pressed(be):
-            self.share[be] = max(LEAST_SHARE, self.share[be] * (1 - weigh))
+            self.share[be] = max(LEAST_SHARE / self.deal.managers, self.share[be] * (1 - weigh))
         elif any(short or long for short, long in self.held):
             self.share[be] = min(1.0, self.share[be] + weigh / self.deal.managers)
 
