An engine's pace fades to the fleet's median; a restarted engine begins there

Told apart from cold limits by the imbalance lasting past the warm-up. Guards against any stale verdict on pace. Harm: a slow engine is tried again every few seconds.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -21,6 +21,7 @@
 WINDOW_US = 800_000       # us a throughput sample lasts: a few commands end in it, little is lost by it
 SAMPLE_AT = (0.4, 0.7)    # P0 and P1 against the cap: far apart, yet P0 does not starve the engine
 PRESSURE = 1.8            # pace against the best seen that is pressure: sharing cores in turn explains less
+STALE_US = 6_000_000      # us in which an engine's pace fades: some long commands, less than a trouble
 FULL_US = 1_000_000       # us a full answer counts as pressure and keeps us off: a few commands' time
 STEADY = 4.0              # long commands' work that outweighs the newest in an engine's pace: few end
 LEAST_SHARE = 0.5         # part of the first share never given up: a thread a core, all gateways together
@@ -131,7 +132,7 @@
                 be = self._new_engine(ident)
             seen.add(be)
             if born > self.born[be]:                          # a restart: whatever we knew is void
-                self.slow[be], self.failed[be], self.full_until[be] = 1.0, 0.0, 0
+                self.slow[be], self.failed[be], self.full_until[be] = median(self.slow), 0.0, 0
                 self.cold_sent[be].clear()
             self.state[be], self.place[be], self.kind[be], self.cell[be] = state, place, kind, cell
             self.born[be] = born
@@ -225,7 +226,10 @@
                 self._review_held(cmd)
             elif cmd.state == OUT and sends == cmd.sends:
                 self._review_send(cmd)
+        # A pace grows old: an engine that is avoided for it sends no news, so it drifts back to the median.
+        usual = median(self.slow or [1.0])
         for be in self.index.values():
+            self.slow[be] += TICK_US / STALE_US * (usual - self.slow[be])
             self._sample(be)
         return self._release()
 
@@ -307,10 +311,9 @@
 
     def _may_shed(self, cmd):
         kind = self.deal.profiles[cmd.profile]
-        if kind.effect == api.REPLAYABLE or cmd.ran_engine < 0:
-            return True
-        return (kind.effect == api.UNIQUED and kind.dedup_scope == api.ALL and
-                self.now < cmd.ran_at + kind.dedup_us)
+        return kind.effect == api.REPLAYABLE or cmd.ran_engine < 0 or (
+            kind.effect == api.UNIQUED and kind.dedup_scope == api.ALL and
+            self.now < cmd.ran_at + kind.dedup_us)
 
     def _may_resend(self, cmd):
         """Whether one more send can ever be allowed: effect, dedup window, cap."""
@@ -324,10 +327,8 @@
 
     def _may_start(self, cmd):
         """Whether a send is allowed at this moment: key at rest, budget of further sends."""
-        if self.now >= cmd.timeout_at - MARGIN_US or not self._may_resend(cmd):
-            return False
-        if (not cmd.sends and self.deal.profiles[cmd.profile].ordered and
-                self.now < self.key_rest.get(cmd.key, 0)):
+        rests = self.deal.profiles[cmd.profile].ordered and self.now < self.key_rest.get(cmd.key, 0)
+        if self.now >= cmd.timeout_at - MARGIN_US or not self._may_resend(cmd) or rests and not cmd.sends:
             return False
         if not cmd.sends or self.deal.extra_free is None:
             return True
@@ -340,9 +341,8 @@
     def _allowed(self, cmd, be):
         """Whether the rules let this command go to this engine now."""
         kind = self.deal.profiles[cmd.profile]
-        if self.state[be] != api.READY:
-            return False
-        if kind.locations is not None and self.place[be] not in kind.locations or (
+        if self.state[be] != api.READY or (
+                kind.locations is not None and self.place[be] not in kind.locations) or (
                 kind.kinds is not None and self.kind[be] not in kind.kinds):
             return False
         if kind.effect == api.UNIQUED and cmd.ran_engine >= 0:
@@ -507,7 +507,7 @@
         return False
 
     def _send(self, cmd, be):
-        kind, deal = self.deal.profiles[cmd.profile], self.deal
+        deal = self.deal
         memory = deal.kind_memory_mb[self.kind[be]] if self.kind[be] < len(deal.kind_memory_mb) else 0.0
         grant = min(cmd.need * self.spread[cmd.profile], deal.most_grant * memory or 1e9)
         terms = (grant, 3 if cmd.short else 1)
@@ -525,5 +525,5 @@
         self.kills[cmd.profile] = min(KILLS[1], self.kills[cmd.profile] + KILLS[0])
         self._move(cmd, OUT)
         self.out.append((api.SEND, cmd.id, self.ids[be], cmd.timeout_at - MARGIN_US))
-        if kind.effect == api.REPLAYABLE:
+        if deal.profiles[cmd.profile].effect == api.REPLAYABLE:
             heappush(self.due, (int(self.now + SLOW_RUN * self._run_us(cmd)), cmd.order, cmd, cmd.sends))
