--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -39,7 +39,7 @@
 TRIAL_US = 500_000        # us between trials on an engine that is out: a few a second could hurt clients
 SLOW_RUN = 1.8            # times the usual run after which a replayable send is held for a bad plan
 KILLS = (0.2, 2.0)        # further sends for bad plans that each send earns, and the most saved up
-COLD_PART = 0.6           # part of the cold budget that we use: sizes and speeds are guessed
+COLD_PART = 0.8           # part of the cold budget that we use: sizes and speeds are guessed
 FIRST_RUN = 0.5           # part of the latency target a run takes when nothing at all is known
 
 HELD, BEHIND, OUT, STREAMING, LEAVING, ORPHAN, ENDED = range(7)
@@ -241,8 +241,8 @@
         if step:
             self.threads[cmd.engine] += step * cmd.threads
             self.running[cmd.engine] += step
-        if step and self.deal.profiles[cmd.profile].loads:
-            (self.loads[cmd.engine].append if step > 0 else self.loads[cmd.engine].remove)(cmd.dataset)
+            if self.deal.profiles[cmd.profile].loads:
+                (self.loads[cmd.engine].append if step > 0 else self.loads[cmd.engine].remove)(cmd.dataset)
         cmd.state = to
         if to == HELD:
             self._hold(cmd)
@@ -292,7 +292,8 @@
         kind = self.deal.profiles[cmd.profile]
         fresh = self._run_us(cmd)
         until = cmd.timeout_at - MARGIN_US if kind.late_benefit else cmd.target_at
-        if (self.now + fresh > until or self.kills[cmd.profile] < 1 or not self._may_resend(cmd) or
+        # No budget for the further send, no cancel: it would only wait here.
+        if (self.now + fresh > until or self.kills[cmd.profile] < 1 or not self._may_start(cmd) or
                 not self.deal.may_cancel):
             return
         if cmd.done and (self.now - cmd.sent_at) * (1 / cmd.done - 1) < SLOW_RUN * fresh:
@@ -351,12 +352,13 @@
                 return False
         if not self._cold(be):
             return True
-        # A cold engine gets our part of what it can stand, its present capacity guessed at its lowest.
+        # A cold engine gets our part of what it can stand; its capacity grows half as fast as a line.
         sent, since = self.cold_sent[be], self.now - self.deal.fall_us
         while sent and sent[0][0] <= since:
             sent.popleft()
-        budget = (self.deal.fall_multiple * self.deal.cold_from * self.cores[be] * self.deal.fall_us *
-                  COLD_PART / self.deal.managers)
+        warm = (self.now - self.born[be]) / self.deal.cold_us * (1 - self.deal.cold_from) / 2
+        budget = (self.deal.fall_multiple * (self.deal.cold_from + warm) * self.cores[be] *
+                  self.deal.fall_us * COLD_PART / self.deal.managers)
         return sum(work for _, work in sent) + self.usual[cmd.profile] <= budget
 
     def _cold(self, be):
@@ -388,8 +390,7 @@
         if not self.stage[be]:
             if self.now >= self.fit_at[be] and not any(self.stage):   # one engine at a time: no swing in step
                 self.fit_at[be] = self.now + REFIT_US
-                self.stage[be], self.stage_at[be], self.work_done[be] = 1, self.now, 0.0
-                self.samples[be] = []
+                self.stage[be], self.stage_at[be], self.work_done[be], self.samples[be] = 1, self.now, 0.0, []
             return
         if self.now < self.stage_at[be] + WINDOW_US:
             return
@@ -468,8 +469,7 @@
     def _release(self):
         """Send held commands while an engine has room for one of the tenant in turn."""
         tenants = range(len(self.weight))
-        while True:
-            # Those without quota left come last: they only use room that the others can't.
+        while True:   # those without quota left come last: they only use room that the others can't
             order = sorted(tenants, key=lambda t: (self.quota[t] < 1, (t - self.turn) % len(tenants)))
             went = next((t for t in order if self._release_one(t)), None)
             if went is None:
