Notes of waiting for a load keep others of that data set off the engine

A note now closes the data set there for two seconds, and our own load for its usual run; closed engines come last in the choice. Harm: a longer way for warm data.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -21,6 +21,7 @@
 WINDOW_US = 800_000       # us a throughput sample lasts: a few commands end in it, little is lost by it
 SAMPLE_AT = (0.4, 0.7)    # P0 and P1 against the cap: far apart, yet P0 does not starve the engine
 PRESSURE = 1.8            # pace against the best seen that is pressure: sharing cores in turn explains less
+CLOSED_US = 2_000_000     # us a note of waiting for a load keeps others off: until the next notes
 STALE_US = 6_000_000      # us in which an engine's pace fades: some long commands, less than a trouble
 FULL_US = 1_000_000       # us a full answer counts as pressure and keeps us off: a few commands' time
 STEADY = 4.0              # long commands' work that outweighs the newest in an engine's pace: few end
@@ -50,7 +51,7 @@
 ENGINE = {"state": api.GONE, "place": 0, "kind": 0, "cell": 0, "born": 0, "cores": 1.0, "threads": 0,
           "running": 0, "share": 1.0, "bound": None, "slow": 1.0, "failed": 0.0, "full_until": 0,
           "trial_at": 0, "stage": 0, "stage_at": 0, "work_done": 0.0, "fit_at": 0,
-          "samples": list, "cold_sent": deque, "loads": list}
+          "samples": list, "cold_sent": deque}
 
 
 class Command:
@@ -78,9 +79,8 @@
             low = gamma
         else:
             high = gamma
-    base = exp(-gamma * p0)
+    base, best, step, p = exp(-gamma * p0), 0.0, (p2 - p0) / 64, p0
     b = far1 / (base - exp(-gamma * p1))
-    best, step, p = 0.0, (p2 - p0) / 64, p0
     while p <= p2:
         rate = p * rate0 / (p0 + b * p0 * (base - exp(-gamma * p)) * (p - 1))
         if rate < best:
@@ -100,6 +100,7 @@
         self.commands = {}                                   # id -> Command, while owed or a send is out
         self.due = []                                        # (time, order, command, sends): looks to take
         self.lines, self.key_rest = {}, {}                   # commands of an ordered key; until when it rests
+        self.closed = {}                                     # (engine, data set): until when a load holds it
         self.taken, self.extras = deque(), deque()           # times, for the budget of further sends
         # Profiles: usual work, bias of estimates, need against estimate, best and usual pace, kills saved up.
         n = len(agreement.profiles)
@@ -127,9 +128,7 @@
         self.now, self.out = now, []
         seen = set()
         for ident, place, _, kind, state, cell, born in entries:
-            be = self.index.get(ident)
-            if be is None:
-                be = self._new_engine(ident)
+            be = self.index[ident] if ident in self.index else self._new_engine(ident)
             seen.add(be)
             if born > self.born[be]:                          # a restart: whatever we knew is void
                 self.slow[be], self.failed[be], self.full_until[be] = median(self.slow), 0.0, 0
@@ -138,10 +137,9 @@
             self.born[be] = born
             cores = self.deal.kind_cores
             self.cores[be] = cores[kind] if kind < len(cores) else max(cores, default=1.0)
-        if full:
-            for be in range(len(self.ids)):
-                if be not in seen:
-                    self.state[be] = api.GONE
+        for be in self.index.values():
+            if full and be not in seen:
+                self.state[be] = api.GONE
         return self._release()
 
     def command(self, now, ident, profile, tenant, key, timeout_at, work, need, dataset, repeat):
@@ -171,17 +169,18 @@
 
     def streaming(self, now, ident, send):
         """A send's answer has begun: it now belongs to the client."""
-        self.now, self.out = now, []
         cmd = self.commands.get(ident)
         if cmd and cmd.state == OUT and send == cmd.sends - 1:
             self._move(cmd, STREAMING)
-        return self.out
+        return []
 
     def noted(self, now, ident, send, note, value):
         """News of a send that is out."""
         cmd = self.commands.get(ident)
         if cmd and cmd.state == OUT and send == cmd.sends - 1 and note == api.PROGRESS:
             cmd.done = max(value, 0.01)
+        elif cmd and note == api.WAITS and value >= 2:   # another gateway's load, else unseen
+            self.closed[cmd.engine, cmd.dataset] = now + CLOSED_US
         return []
 
     def ended(self, now, ident, send, outcome, closed, latency, cost, need, report):
@@ -241,8 +240,6 @@
         if step:
             self.threads[cmd.engine] += step * cmd.threads
             self.running[cmd.engine] += step
-            if self.deal.profiles[cmd.profile].loads:
-                (self.loads[cmd.engine].append if step > 0 else self.loads[cmd.engine].remove)(cmd.dataset)
         cmd.state = to
         if to == HELD:
             self._hold(cmd)
@@ -287,12 +284,11 @@
         """A replayable send that runs far past the usual (bad plan or engine): start afresh elsewhere.
 
         Guards against: bad plans, slow or standing engines. The usual pace follows the fleet, so a slowdown
-        of all stops it, and so does its allowance. Harm: work thrown away when the estimate was far too low.
+        of all stops it; so do its allowance and the budget. Harm: work lost when an estimate was too low.
         """
         kind = self.deal.profiles[cmd.profile]
         fresh = self._run_us(cmd)
         until = cmd.timeout_at - MARGIN_US if kind.late_benefit else cmd.target_at
-        # No budget for the further send, no cancel: it would only wait here.
         if (self.now + fresh > until or self.kills[cmd.profile] < 1 or not self._may_start(cmd) or
                 not self.deal.may_cancel):
             return
@@ -331,13 +327,13 @@
         rests = self.deal.profiles[cmd.profile].ordered and self.now < self.key_rest.get(cmd.key, 0)
         if self.now >= cmd.timeout_at - MARGIN_US or not self._may_resend(cmd) or rests and not cmd.sends:
             return False
-        if not cmd.sends or self.deal.extra_free is None:
-            return True
         since = self.now - self.deal.extra_us
         for times in (self.taken, self.extras):
             while times and times[0] <= since:
                 times.popleft()
-        return len(self.extras) + 1 <= self.deal.extra_free + self.deal.extra_share * len(self.taken)
+        free = self.deal.extra_free
+        return not cmd.sends or free is None or (
+            len(self.extras) + 1 <= free + self.deal.extra_share * len(self.taken))
 
     def _allowed(self, cmd, be):
         """Whether the rules let this command go to this engine now."""
@@ -423,7 +419,7 @@
     def _weigh(self, cmd, be):
         """Our threads there against size and pace; a load that holds its data set comes last."""
         kind = self.deal.profiles[cmd.profile]
-        stuck = cmd.dataset in self.loads[be] and (kind.loads or kind.stands_still)
+        stuck = (kind.loads or kind.stands_still) and self.now < self.closed.get((be, cmd.dataset), 0)
         return stuck, (self.threads[be] + cmd.threads) * self.slow[be] / self.cores[be]
 
     def _healthy(self, cmd, be):
@@ -520,6 +516,8 @@
             self.trial_at[be] = self.now + TRIAL_US
         if self._cold(be):
             self.cold_sent[be].append((self.now, self.usual[cmd.profile]))
+        if deal.profiles[cmd.profile].loads:
+            self.closed[be, cmd.dataset] = int(self.now + self._run_us(cmd))
         cmd.engine, cmd.sent_at, cmd.done = be, self.now, 0.0
         cmd.sends += 1
         self.kills[cmd.profile] = min(KILLS[1], self.kills[cmd.profile] + KILLS[0])
