The engine that last read the data set joins the two drawn, with a discount on its own threads

Cause: the two drawn at random spread every data set over every engine, so most reads were cold. Harm: where crowds read one data set, they follow each other until the counts outweigh it.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -21,6 +21,7 @@
 WINDOW_US = 800_000       # us a throughput sample lasts: a few commands end in it, little is lost by it
 SAMPLE_AT = (0.4, 0.7)    # P0 and P1 against the cap: far apart, yet P0 does not starve the engine
 PRESSURE = 1.8            # pace against the best seen that is pressure: sharing cores in turn explains less
+WARM = 0.7                # weight of the engine that last read the data set: reading is part of the work
 CLOSED_US = 2_000_000     # us a note of waiting for a load keeps others off: until the next notes
 STALE_US = 6_000_000      # us in which an engine's pace fades: some long commands, less than a trouble
 FULL_US = 1_000_000       # us a full answer counts as pressure and keeps us off: a few commands' time
@@ -100,7 +101,7 @@
         self.commands = {}                                   # id -> Command, while owed or a send is out
         self.due = []                                        # (time, order, command, sends): looks to take
         self.lines, self.key_rest = {}, {}                   # commands of an ordered key; until when it rests
-        self.closed = {}                                     # (engine, data set): until when a load holds it
+        self.closed, self.home = {}, {}   # (engine, data set): until when a load holds it; data set: engine
         self.taken, self.extras = deque(), deque()           # times, for the budget of further sends
         # Profiles: usual work, bias of estimates, need against estimate, best and usual pace, kills saved up.
         n = len(agreement.profiles)
@@ -404,7 +405,7 @@
             not self.running[be] or self.threads[be] + cmd.threads <= limit)
 
     def _choose(self, cmd):
-        """Two drawn at random among those allowed and under their bound; the one our own counts favour."""
+        """Two drawn at random among those with room, and the one that last read the data set, if it has."""
         ready = [be for be in range(len(self.ids)) if self._allowed(cmd, be) and self._room(cmd, be) and
                  self._healthy(cmd, be)]
         if self.deal.crossing_costs:
@@ -413,14 +414,15 @@
             first = int(self.draw() * len(ready))
             second = int(self.draw() * (len(ready) - 1))
             second += second >= first
-            ready = [ready[first], ready[second]]
+            ready = [ready[first], ready[second]] + [be for be in ready if be == self.home.get(cmd.dataset)]
         return min(ready, key=lambda be: self._weigh(cmd, be), default=-1)
 
     def _weigh(self, cmd, be):
         """Our threads there against size and pace; a load that holds its data set comes last."""
         kind = self.deal.profiles[cmd.profile]
         stuck = (kind.loads or kind.stands_still) and self.now < self.closed.get((be, cmd.dataset), 0)
-        return stuck, (self.threads[be] + cmd.threads) * self.slow[be] / self.cores[be]
+        warm = WARM if self.home.get(cmd.dataset) == be else 1.0   # less reading for it, not for the others
+        return stuck, (self.threads[be] + cmd.threads * warm) * self.slow[be] / self.cores[be]
 
     def _healthy(self, cmd, be):
         """An engine that fails far more than the fleet's median gets only a trial now and then.
@@ -505,8 +507,8 @@
     def _send(self, cmd, be):
         deal = self.deal
         memory = deal.kind_memory_mb[self.kind[be]] if self.kind[be] < len(deal.kind_memory_mb) else 0.0
-        grant = min(cmd.need * self.spread[cmd.profile], deal.most_grant * memory or 1e9)
-        terms = (grant, 3 if cmd.short else 1)
+        need = cmd.need * self.spread[cmd.profile]
+        terms = (min(need, deal.most_grant * memory or need), 3 if cmd.short else 1)
         if terms != cmd.terms and (deal.heeds_grants or deal.heeds_priority):
             cmd.terms = terms
             self.out.append((api.TERMS, cmd.id, *terms))
@@ -518,7 +520,7 @@
             self.cold_sent[be].append((self.now, self.usual[cmd.profile]))
         if deal.profiles[cmd.profile].loads:
             self.closed[be, cmd.dataset] = int(self.now + self._run_us(cmd))
-        cmd.engine, cmd.sent_at, cmd.done = be, self.now, 0.0
+        cmd.engine, cmd.sent_at, cmd.done, self.home[cmd.dataset] = be, self.now, 0.0, be
         cmd.sends += 1
         self.kills[cmd.profile] = min(KILLS[1], self.kills[cmd.profile] + KILLS[0])
         self._move(cmd, OUT)
