--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -162,3 +162,50 @@
             world.command()
         world.end(world.out()[0], api.ANSWERED) if world.out() else world.wait(20 * MS)
     assert world.cold[1]
+
+
+def test_a_send_that_notes_call_nearly_done_is_left_alone():
+    world = Driver(agreement(profile(timeout_us=20_000 * MS)))
+    world.engines(*READY4)
+    ident = world.command()
+    world.gateway.noted(world.now, ident, 0, api.PROGRESS, 0.9)
+    world.wait(900 * MS)
+    assert not any(result[0] == api.CANCEL for result in world.log)
+
+
+def test_a_note_of_waiting_for_a_load_keeps_its_data_set_off():
+    world = Driver(agreement(profile(stands_still=True), kind_cores=(40.0, 40.0)))
+    world.engines(*READY4)
+    first = world.command()
+    engine = world.commands[first]["out"][0]
+    world.gateway.noted(world.now, first, 0, api.WAITS, 2.0)
+    same = [ident for ident in (world.command() for _ in range(40)) if ident % 5 == first % 5]
+    assert all(world.commands[ident]["out"][0] != engine for ident in same)
+
+
+def test_a_slowdown_of_all_engines_leaves_half_the_first_share():
+    world = Driver(agreement(managers=2))
+    world.engines(*READY4)
+    for i in range(400):
+        ident = world.command()
+        world.now += (100 if i < 50 else 900) * MS
+        while world.commands[ident]["out"]:
+            world.end(ident, api.ANSWERED)
+    assert min(world.gateway.share) >= 0.25
+
+
+def test_an_avoided_engine_is_no_outlier_for_good():
+    world = Driver(agreement())
+    world.engines(*READY4)
+    world.gateway.slow[2] = 9.0
+    world.wait(30_000 * MS)
+    assert world.gateway.slow[2] < 1.5
+
+
+def test_a_heavy_command_may_go_to_a_new_engine_before_it_is_warm():
+    world = Driver(agreement(profile(timeout_us=60_000 * MS, target_us=60_000 * MS), managers=3))
+    world.engines((1, 0, 0, api.READY, 0, START))
+    ident = world.command(work=2500 * MS)
+    assert not world.out()
+    world.wait(9900 * MS)
+    assert world.commands[ident]["out"]
