Double the allowance for bad plans: too few fresh starts cost more work than too many

Cause: with the allowance spent, a bad plan runs to its client timeout. Harm: when a profile's estimates fall far too low at once, more of its work is thrown away.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -40,7 +40,7 @@
 SICK = (0.15, 2.0)        # share of failures above the median, least and times, that takes an engine out
 TRIAL_US = 500_000        # us between trials on an engine that is out: a few a second could hurt clients
 SLOW_RUN = 1.8            # times the usual run after which a replayable send is held for a bad plan
-KILLS = (0.2, 2.0)        # further sends for bad plans that each send earns, and the most saved up
+KILLS = (0.4, 4.0)        # further sends for bad plans that each send earns, and the most saved up
 COLD_PART = 0.8           # part of the cold budget that we use: sizes and speeds are guessed
 FIRST_RUN = 0.5           # part of the latency target a run takes when nothing at all is known
 
