Median of failures once a choice, not once an engine; settings that nothing reads are dropped

The health check took the fleet's median anew for every engine at every choice. The agreement carried the drain grace (notice is taken at once), the kind of memory shortage and the tenants' allowances, which the module never read.

--- a/gullhold/drill/frames.py
+++ b/gullhold/drill/frames.py
@@ -35,7 +35,6 @@
 NOTES = {1: api.PROGRESS, 2: api.SPILLS, 3: api.WAITS}
 EFFECTS = {"pure": api.REPLAYABLE, "token": api.UNIQUED, "side_effect": api.NON_REPLAYABLE}
 SCOPES = {"all": api.ALL, "zone": api.LOCATION, "cell": api.CELL}
-SHORTAGES = {"queue": api.LINE, "trim": api.TRIM, "swap": api.SWAP}
 
 
 def micros(seconds):
@@ -106,8 +105,7 @@
             dedup_us=micros(number(key + "window")), ordered=yes(key + "serial_by_key"),
             locations=allowed(key + "dcs_only"), kinds=allowed(key + "kinds_only"),
             loads=at(loads, i, "") == "true", stands_still=at(waits, i, "") == "true"))
-    tenants = tuple(api.Tenant(number(f"tenants.{i}.fraction"), number(f"tenants.{i}.allowance_per_s"))
-                    for i in range(int(number("tenants.count"))))
+    tenants = tuple(api.Tenant(number(f"tenants.{i}.fraction")) for i in range(int(number("tenants.count"))))
     budget = "rules.ratio_span" in facts
     return api.Agreement(
         profiles=tuple(profiles), tenants=tenants, managers=max(1, int(number("balancers"))),
@@ -115,11 +113,9 @@
         kind_cores=tuple(float(word) for word in several("domain.cores_by_kind")),
         kind_memory_mb=tuple(float(word) for word in several("domain.ram_of_kind_mb")),
         most_grant=number("domain.max_grant_share"),
-        when_short=SHORTAGES.get(facts.get("domain.out_of_memory"), api.LINE),
         heeds_grants=yes("domain.grants_count"), heeds_priority=yes("domain.takes_priority"),
         sends_cap=int(number("limits.attempts_cap")), may_cancel=yes("limits.cancel"),
         come_back_us=micros(number("limits.max_retry_after")) if yes("limits.retry_after") else 0,
-        drain_grace_us=micros(number("rules.drain_grace")),
         cold_from=number("rules.cold_from"), cold_us=micros(number("rules.warm_after")),
         fall_multiple=number("rules.fall_multiple"), fall_us=micros(number("rules.tip_after")),
         key_rest_us=micros(number("rules.order_settle")),
--- a/gullhold/interface.py
+++ b/gullhold/interface.py
@@ -11,8 +11,6 @@
 REPLAYABLE, UNIQUED, NON_REPLAYABLE = range(3)
 # Engines that drop repeats of a uniqued command: all, those in one location, those in one cell.
 ALL, LOCATION, CELL = range(3)
-# What happens in an engine whose memory is all granted: wait in line, get what is left, slow everything down.
-LINE, TRIM, SWAP = range(3)
 # Engine states in a list entry.
 GONE, READY, DRAINING = range(3)
 # How a send ended. FULL, NO_CONNECTION and MOOT prove that it never ran.
@@ -51,10 +49,9 @@
 
 
 class Tenant(NamedTuple):
-    """A tenant's share of the service, and how many of its commands a second count in full."""
+    """A tenant's share of the service."""
 
     share: float
-    allowance_per_s: float
 
 
 class Agreement(NamedTuple):
@@ -67,13 +64,11 @@
     kind_cores: tuple
     kind_memory_mb: tuple
     most_grant: float
-    when_short: int
     heeds_grants: bool
     heeds_priority: bool
     sends_cap: int
     may_cancel: bool
     come_back_us: int           # longest wait a shed reply may ask of a client; 0: none
-    drain_grace_us: int
     cold_from: float
     cold_us: int
     fall_multiple: float
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -406,8 +406,9 @@
 
     def _choose(self, cmd):
         """Two drawn at random among those with room, and the one that last read the data set, if it has."""
+        usual = median([self.failed[i] for i in self.index.values() if self.state[i] == api.READY] or [0.0])
         ready = [be for be in range(len(self.ids)) if self._allowed(cmd, be) and self._room(cmd, be) and
-                 self._healthy(cmd, be)]
+                 self._healthy(cmd, be, usual)]
         if self.deal.crossing_costs:
             ready = [be for be in ready if self.place[be] == self.deal.location] or ready
         if len(ready) > 1:
@@ -424,12 +425,11 @@
         warm = WARM if self.home.get(cmd.dataset) == be else 1.0   # less reading for it, not for the others
         return stuck, (self.threads[be] + cmd.threads * warm) * self.slow[be] / self.cores[be]
 
-    def _healthy(self, cmd, be):
+    def _healthy(self, cmd, be, usual):
         """An engine that fails far more than the fleet's median gets only a trial now and then.
 
         Guards against: engines failing fast, down, unreachable. When most fail alike none stands out.
         """
-        usual = median([self.failed[i] for i in self.index.values() if self.state[i] == api.READY])
         return self.failed[be] <= SICK[0] + SICK[1] * usual or (
             cmd.short and self.deal.profiles[cmd.profile].effect == api.REPLAYABLE and
             self.now >= self.trial_at[be])
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -22,8 +22,8 @@
     """An agreement over such profiles, with what the test names changed."""
     plain = {"profiles": profiles or (profile(),), "tenants": (), "managers": 1, "location": 0,
              "kind_cores": (4.0, 2.0), "kind_memory_mb": (8192.0, 4096.0), "most_grant": 0.4,
-             "when_short": api.LINE, "heeds_grants": True, "heeds_priority": True, "sends_cap": 3,
-             "may_cancel": True, "come_back_us": 0, "drain_grace_us": 250 * MS, "cold_from": 0.3,
+             "heeds_grants": True, "heeds_priority": True, "sends_cap": 3,
+             "may_cancel": True, "come_back_us": 0, "cold_from": 0.3,
              "cold_us": 10_000 * MS, "fall_multiple": 3.0, "fall_us": 2000 * MS, "key_rest_us": 300 * MS,
              "extra_free": None, "extra_share": 0.0, "extra_us": 0, "crossing_costs": False}
     return api.Agreement(**plain | other)
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -15,7 +15,7 @@
 DEALS = [
     agreement(profile(), profile(effect=api.NON_REPLAYABLE, threads=3),
               profile(effect=api.UNIQUED, dedup_scope=api.LOCATION, target_us=2000 * MS),
-              tenants=(api.Tenant(0.7, 50.0), api.Tenant(0.3, 10.0))),
+              tenants=(api.Tenant(0.7), api.Tenant(0.3))),
     agreement(profile(effect=api.UNIQUED, ordered=True), profile(ordered=True, late_benefit=0.0),
               profile(effect=api.UNIQUED, dedup_scope=api.CELL), extra_free=2.0, extra_share=0.2,
               extra_us=2000 * MS, managers=3),
@@ -93,7 +93,7 @@
 
 def test_tenants_are_released_by_weight_under_pressure():
     world = Driver(agreement(profile(target_us=60_000 * MS, timeout_us=90_000 * MS),
-                             tenants=(api.Tenant(0.75, 9.0), api.Tenant(0.25, 9.0))))
+                             tenants=(api.Tenant(0.75), api.Tenant(0.25))))
     world.engines((1, 0, 1, api.READY, 0, 0))
     for i in range(400):
         world.command(tenant=i % 2)
@@ -114,7 +114,7 @@
 
 
 def test_strange_input_is_passed_over():
-    world = Driver(agreement(tenants=(api.Tenant(1.0, 9.0),), kind_cores=(), kind_memory_mb=()))
+    world = Driver(agreement(tenants=(api.Tenant(1.0),), kind_cores=(), kind_memory_mb=()))
     world.engines(*READY4)
     assert world.gateway.ended(world.now, 77, 0, api.ANSWERED, True, 5, 0, 0, ()) == []
     assert world.gateway.client_gone(world.now, 77) == []
