Bound over the fleet by our part of the traffic; pace from fading evidence; timers when due

Change: our share is our part of the traffic against what the tenants may ask (an even part where that is not told); the sum of our threads stays under the sum of the bounds, with slack for chance; pressure is told by the fleet's pooled pace times an engine's own slowness; slowness is relative to the profile's usual and fades, so lookups count. An engine's cap shrinks by its slowness. Engines are drawn first and then checked; a timer only when one is due. Guards also against: restarted gateways (they begin at an even part) and one busy gateway among idle ones. Harm: a gateway that alone takes a sudden crowd is held to its part until its traffic counts (fifteen seconds).

--- a/gullhold/interface.py
+++ b/gullhold/interface.py
@@ -52,6 +52,7 @@
     """A tenant's share of the service."""
 
     share: float
+    allowance: float = 0.0   # commands a second inside its share, all gateways together; 0: not stated
 
 
 class Agreement(NamedTuple):
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -1,12 +1,12 @@
 """All decisions of the gateway: what runs, where, when, with how much memory and at which priority.
 
-A front makes one Gateway(seed, agreement) for each workload manager and calls start, engines, command,
-streaming, noted, ended, client_gone and timer, each with the time in whole microseconds, and gets tuples
-back. gullhold/interface.py defines the Agreement and the tuples, docs/design.md explains the mechanism.
+A front makes one Gateway(seed, agreement) for each workload manager and calls its public methods, each with
+the time in whole microseconds. gullhold/interface.py defines the Agreement and the tuples that come back.
 """
 
 from collections import deque
 from heapq import heappop, heappush
+from itertools import chain
 from math import exp
 from random import Random
 from statistics import median
@@ -15,18 +15,21 @@
 
 # Tuned values: each with its unit and the reason for its size.
 THREADS_A_CORE = 2.0      # threads; the design's start for cap and bound
-TICK_US = 20_000          # us; far below any latency target, far above the cost of a look
+TICK_US = 50_000          # us between looks while commands are held; far below any latency target
 MARGIN_US = 30_000        # us before a client timeout or window ends at which we stop: over one tick
 REFIT_US = 10_000_000     # us between fits of a bound, from the design
 WINDOW_US = 800_000       # us a throughput sample lasts: a few commands end in it, little is lost by it
+SAMPLE_LEAST = 4.0        # threads of a cap that is sampled: below, P0 is less than one command
 SAMPLE_AT = (0.4, 0.7)    # P0 and P1 against the cap: far apart, yet P0 does not starve the engine
 PRESSURE = 1.8            # pace against the best seen that is pressure: sharing cores in turn explains less
 WARM = 0.7                # weight of the engine that last read the data set: reading is part of the work
 CLOSED_US = 2_000_000     # us a note of waiting for a load keeps others off: until the next notes
-STALE_US = 6_000_000      # us in which an engine's pace fades: some long commands, less than a trouble
+STALE_US = 6_000_000      # us in which what an engine showed fades: some long commands, less than a trouble
+TRAFFIC_US = 15_000_000   # us over which our traffic is counted for our share: longer than a burst
 FULL_US = 1_000_000       # us a full answer counts as pressure and keeps us off: a few commands' time
-STEADY = 4.0              # long commands' work that outweighs the newest in an engine's pace: few end
-LEAST_SHARE = 0.5         # part of the first share never given up: a thread a core, all gateways together
+STEADY = 4.0              # long commands' work that outweighs the newest in the fleet's pace: few end
+PART = (0.5, 4.0)         # least and most of our share that pressure leaves: a thread a core; idle room
+SLACK = 1.0               # spreads of our threads by chance that the bound over the fleet allows
 LONG_PART = 0.8           # part of the bound that long commands may fill; the rest stays for short ones
 SHORT = 2.5               # times the shortest latency target that a short command is allowed in all
 QUOTA = (1.0, 2.0, 8.0)   # least, first and most commands a round of the smallest tenant (zeta)
@@ -36,7 +39,7 @@
 BEST_EASE = 0.01          # pull on the best pace from above: forgets a lucky answer in about a hundred
 NEED_QUANTILE = 0.85      # part of commands whose memory the grant shall cover: spilling costs more than room
 NEED_STEP = 0.04          # step of that quantile's follower: settles within some fifty answers
-FIRST_NEED = 1.25         # grant over the estimate before any answer told the need: the engines' own habit
+FIRST_NEED = 1.25         # grant over the estimate before any answer told the need: the engines' habit
 SICK = (0.15, 2.0)        # share of failures above the median, least and times, that takes an engine out
 TRIAL_US = 500_000        # us between trials on an engine that is out: a few a second could hurt clients
 SLOW_RUN = 1.8            # times the usual run after which a replayable send is held for a bad plan
@@ -50,17 +53,18 @@
 
 # Figures held for each engine, with their first values.
 ENGINE = {"state": api.GONE, "place": 0, "kind": 0, "cell": 0, "born": 0, "cores": 1.0, "threads": 0,
-          "running": 0, "share": 1.0, "bound": None, "slow": 1.0, "failed": 0.0, "full_until": 0,
-          "trial_at": 0, "stage": 0, "stage_at": 0, "work_done": 0.0, "fit_at": 0,
-          "samples": list, "cold_sent": deque}
+          "running": 0, "bound": None, "failed": 0.0, "full_until": 0, "trial_at": 0,
+          "seen_at": 0, "seen": 0.0, "seen_slow": 0.0,   # work that ended there, and it times its slowness
+          "stage": 0, "stage_at": 0, "work_done": 0.0, "fit_at": 0, "samples": (), "cold_sent": deque}
 
 
 class Command:
     """One command from its arrival to the outcome of its last send; changes state only in Gateway._move."""
 
-    def __init__(self, ident, profile, tenant, key, timeout_at, need, dataset, order):
-        self.id, self.profile, self.tenant, self.key, self.state = ident, profile, tenant, key, BEHIND
-        self.timeout_at, self.need, self.dataset, self.order, self.entry = timeout_at, need, dataset, order, 0
+    def __init__(self, ident, profile, kind, tenant, key, timeout_at, need, dataset, order):
+        self.id, self.profile, self.kind, self.tenant, self.key = ident, profile, kind, tenant, key
+        self.need, self.dataset, self.order, self.entry, self.state = need, dataset, order, 0, BEHIND
+        self.last_at, self.threads = timeout_at - MARGIN_US, kind.threads   # after last_at nothing is started
         self.sends, self.engine, self.sent_at, self.ran_engine, self.ran_at = 0, -1, 0, -1, 0
         self.terms, self.late, self.done = None, False, 0.0
 
@@ -71,42 +75,35 @@
         return None
     far1 = (p1 * rate0 / rate1 - p0) / (p0 * (p1 - 1))
     far2 = (p2 * rate0 / rate2 - p0) / (p0 * (p2 - 1))
-    if far1 <= 0 or far2 <= far1 or far2 / far1 >= (p2 - p0) / (p1 - p0):
-        return None  # no positive B and gamma fit
+    if far1 <= 0 or far2 <= far1 or far2 / far1 >= (p2 - p0) / (p1 - p0):   # no positive B and gamma fit
+        return None
     low, high = 1e-6 / (p2 - p0), 50 / (p1 - p0)
     for _ in range(60):
         gamma = (low + high) / 2
-        if (1 - exp(-gamma * (p2 - p0))) / (1 - exp(-gamma * (p1 - p0))) > far2 / far1:
-            low = gamma
-        else:
-            high = gamma
-    base, best, step, p = exp(-gamma * p0), 0.0, (p2 - p0) / 64, p0
+        over = (1 - exp(-gamma * (p2 - p0))) / (1 - exp(-gamma * (p1 - p0))) > far2 / far1
+        low, high = (gamma, high) if over else (low, gamma)
+    base, step = exp(-gamma * p0), (p2 - p0) / 64
     b = far1 / (base - exp(-gamma * p1))
-    while p <= p2:
-        rate = p * rate0 / (p0 + b * p0 * (base - exp(-gamma * p)) * (p - 1))
-        if rate < best:
-            return p - step
-        best, p = rate, p + step
-    return None
+    points = [p0 + i * step for i in range(65)]
+    rates = [p / (p0 + b * p0 * (base - exp(-gamma * p)) * (p - 1)) for p in points]
+    return next((points[i] for i in range(64) if rates[i + 1] < rates[i]), None)
 
 
 class Gateway:
     """The decisions of one workload manager."""
 
     def __init__(self, seed, agreement):
-        self.deal = agreement
-        chance = Random(seed)
-        self.draw = chance.random
+        self.deal, self.draw = agreement, Random(seed).random
         self.out, self.now, self.order = [], 0, 0
-        self.commands = {}                                   # id -> Command, while owed or a send is out
-        self.due = []                                        # (time, order, command, sends): looks to take
-        self.lines, self.key_rest = {}, {}                   # commands of an ordered key; until when it rests
+        self.commands, self.due = {}, []             # by id while owed or out; (time, order, command, sends)
+        self.lines, self.key_rest = {}, {}           # commands of an ordered key; until when it rests
         self.closed, self.home = {}, {}   # (engine, data set): until when a load holds it; data set: engine
-        self.taken, self.extras = deque(), deque()           # times, for the budget of further sends
+        self.taken, self.extras = deque(), deque()   # times, for the budget of further sends
         # Profiles: usual work, bias of estimates, need against estimate, best and usual pace, kills saved up.
         n = len(agreement.profiles)
         self.usual, self.bias, self.spread = [0.0] * n, [1.0] * n, [FIRST_NEED] * n
-        self.best, self.pace, self.kills = [1e9] * n, [1.0] * n, [KILLS[1]] * n
+        self.waits = [kind.loads or kind.stands_still for kind in agreement.profiles]
+        self.best, self.pace, self.kills = [1.0] * n, [1.0] * n, [KILLS[1]] * n
         self.short_us = SHORT * min((p.target_us for p in agreement.profiles), default=0)
         # Tenants, else profiles: weight, held commands (short, long), released, quota left, latency sums.
         least = min((t.share for t in agreement.tenants if t.share > 0), default=1.0)
@@ -115,32 +112,45 @@
         self.released, self.quota = [0.0 for _ in self.weight], [0 for _ in self.weight]
         self.latency = [[0.0, 0.0, 0.0] for _ in self.weight]
         self.zeta, self.rose, self.turn = QUOTA[1], False, 0
+        self.allowance = sum(t.allowance for t in agreement.tenants)   # what our traffic is measured against
+        self.traffic, self.traffic_at = self.allowance / agreement.managers * TRAFFIC_US / 1e6, 0
+        self.part, self.slow, self.total, self.armed = 1.0, 1.0, 0, None
         # Engines: parallel arrays under a dense index.
-        self.index, self.ids = {}, []
+        self.index, self.ids, self.ready, self.near = {}, [], [], []
+        self.ready_cores, self.usual_failed = 0.0, 0.0
+        self.most_threads = max((kind.threads for kind in agreement.profiles), default=1)
         for name in ENGINE:
             setattr(self, name, [])
 
     def start(self, now):
         """The instance begins."""
-        return [(api.TIMER, TICK_US, 0)]
+        self.now = self.traffic_at = now
+        return []
 
     def engines(self, now, entries, full):
         """The list of engines changed; full: engines that are not in it are gone."""
         self.now, self.out = now, []
         seen = set()
         for ident, place, _, kind, state, cell, born in entries:
-            be = self.index[ident] if ident in self.index else self._new_engine(ident)
+            be = self.index.setdefault(ident, len(self.ids))
             seen.add(be)
+            if be == len(self.ids):
+                self.ids.append(ident)
+                for name, first in ENGINE.items():
+                    getattr(self, name).append(first() if callable(first) else first)
             if born > self.born[be]:                          # a restart: whatever we knew is void
-                self.slow[be], self.failed[be], self.full_until[be] = median(self.slow), 0.0, 0
+                self.seen[be] = self.seen_slow[be] = self.failed[be] = self.full_until[be] = 0
                 self.cold_sent[be].clear()
             self.state[be], self.place[be], self.kind[be], self.cell[be] = state, place, kind, cell
-            self.born[be] = born
-            cores = self.deal.kind_cores
+            cores, self.born[be] = self.deal.kind_cores, born
             self.cores[be] = cores[kind] if kind < len(cores) else max(cores, default=1.0)
-        for be in self.index.values():
-            if full and be not in seen:
-                self.state[be] = api.GONE
+        for be in self.index.values() if full else ():
+            self.state[be] = self.state[be] if be in seen else api.GONE
+        self.ready = [be for be in self.index.values() if self.state[be] == api.READY]
+        self.near = [be for be in self.ready if self.place[be] == self.deal.location]
+        self.ready_cores = sum(self.cores[be] for be in self.ready)
+        self.closed = {spot: until for spot, until in self.closed.items() if until > now}
+        self.key_rest = {key: until for key, until in self.key_rest.items() if until > now}
         return self._release()
 
     def command(self, now, ident, profile, tenant, key, timeout_at, work, need, dataset, repeat):
@@ -151,10 +161,12 @@
             return [] if ident in self.commands else [(api.FAIL, ident)]
         kind, who = self.deal.profiles[profile], tenant if self.deal.tenants else profile
         self.order += 1
-        cmd = Command(ident, profile, who if who < len(self.weight) else 0, key, timeout_at, need,
+        self.traffic = self.traffic * exp((self.traffic_at - now) / TRAFFIC_US) + 1
+        self.traffic_at = now
+        cmd = Command(ident, profile, kind, who if who < len(self.weight) else 0, key, timeout_at, need,
                       dataset, self.order)
         work = work * self.bias[profile] if work > 0 else self.usual[profile]
-        cmd.work, cmd.threads = work or FIRST_RUN * kind.target_us * kind.threads, kind.threads
+        cmd.work = work or FIRST_RUN * kind.target_us * kind.threads
         self.usual[profile] += EASE * (cmd.work - self.usual[profile]) if self.usual[profile] else cmd.work
         allowed = kind.target_us + kind.target_stretch * cmd.work / kind.threads
         cmd.target_at, cmd.short = int(now + allowed), allowed <= self.short_us
@@ -163,10 +175,8 @@
         line.append(cmd)
         if line[0] is cmd:
             self._move(cmd, HELD)
-        heappush(self.due, (timeout_at - MARGIN_US, cmd.order, cmd, -1))
-        if now >= timeout_at - MARGIN_US:
-            self._finish(cmd)
-        return self._release()
+        heappush(self.due, (cmd.last_at, cmd.order, cmd, -1))
+        return self._release() if now < cmd.last_at else self._finish(cmd)
 
     def streaming(self, now, ident, send):
         """A send's answer has begun: it now belongs to the client."""
@@ -190,15 +200,15 @@
         cmd = self.commands.get(ident)
         if cmd is None or send != cmd.sends - 1 or cmd.state not in (OUT, STREAMING, LEAVING, ORPHAN):
             return self.out
-        be, kind, state = cmd.engine, self.deal.profiles[cmd.profile], cmd.state
+        be, state = cmd.engine, cmd.state
         self._account(cmd, be, outcome, latency, cost, need)
         if outcome not in api.NEVER_RAN and cmd.ran_engine < 0:
             cmd.ran_engine, cmd.ran_at = be, cmd.sent_at
-        if kind.ordered and cmd.key and outcome in (api.TIMED_OUT, api.RESET, api.CANCELLED):
+        if cmd.kind.ordered and cmd.key and outcome in (api.TIMED_OUT, api.RESET, api.CANCELLED):
             self.key_rest[cmd.key] = now + self.deal.key_rest_us
         if closed or outcome == api.ANSWERED or state in (ORPHAN, STREAMING):
             self._move(cmd, ENDED)
-        elif now >= cmd.timeout_at - MARGIN_US or not self._may_resend(cmd):
+        elif now >= cmd.last_at or not self._may_resend(cmd):
             self._finish(cmd)
         else:
             self._move(cmd, HELD)
@@ -217,36 +227,41 @@
         return self._release()
 
     def timer(self, now, token):
-        """The regular look at what time alone changes."""
+        """A moment at which something is due, or at which held commands are to be looked at."""
         self.now, self.out = now, []
-        self.out.append((api.TIMER, TICK_US, token))
+        self.armed = None if token == self.armed else self.armed
         while self.due and self.due[0][0] <= now:
             _, _, cmd, sends = heappop(self.due)
             if cmd.state in (HELD, BEHIND):
                 self._review_held(cmd)
             elif cmd.state == OUT and sends == cmd.sends:
                 self._review_send(cmd)
-        # A pace grows old: an engine that is avoided for it sends no news, so it drifts back to the median.
-        usual = median(self.slow or [1.0])
-        for be in self.index.values():
-            self.slow[be] += TICK_US / STALE_US * (usual - self.slow[be])
-            self._sample(be)
         return self._release()
 
+    def _arm(self):
+        """One timer at the next moment that matters; while commands are held, soon."""
+        while self.due and self.due[0][2].state == ENDED:
+            heappop(self.due)
+        soon = [self.now + TICK_US] if any(short or long for short, long in self.held) else []
+        at = min(soon + [look[0] for look in self.due[:1]], default=0)
+        if at and (self.armed is None or at < self.armed - TICK_US // 2 or self.armed <= self.now):
+            self.armed = max(at, self.now + 1)
+            self.out.append((api.TIMER, self.armed - self.now, self.armed))
+
     def _move(self, cmd, to):
         """Every change of a command's state, and the lists and counts that hang on it."""
-        if to not in MOVES[cmd.state]:
-            raise AssertionError(f"command {cmd.id}: {cmd.state} to {to}")
+        assert to in MOVES[cmd.state], f"command {cmd.id}: {cmd.state} to {to}"
         step = (to == OUT) - (to in (HELD, ENDED) and cmd.state not in (HELD, BEHIND))
         if step:
             self.threads[cmd.engine] += step * cmd.threads
+            self.total += step * cmd.threads
             self.running[cmd.engine] += step
         cmd.state = to
         if to == HELD:
             self._hold(cmd)
         if to == ENDED:
             del self.commands[cmd.id]
-            line = self.lines.get(cmd.key) if self.deal.profiles[cmd.profile].ordered else None
+            line = self.lines.get(cmd.key) if cmd.kind.ordered else None
             if line:
                 line.remove(cmd)
                 if not line:
@@ -256,125 +271,105 @@
 
     def _hold(self, cmd):
         """Into its tenant's held commands, those with the most benefit for their work first."""
-        kind, start_by = self.deal.profiles[cmd.profile], cmd.target_at - self._run_us(cmd)
+        start_by = cmd.target_at - self._run_us(cmd)
         cmd.late = self.now > start_by
-        benefit = kind.benefit * (kind.late_benefit if cmd.late else 1.0)
+        benefit = cmd.kind.benefit * (cmd.kind.late_benefit if cmd.late else 1.0)
         cmd.entry += 1
-        if cmd.ran_engine >= 0 and kind.effect == api.UNIQUED:   # it must not wait past its dedup window
-            heappush(self.due, (cmd.ran_at + kind.dedup_us - MARGIN_US, cmd.order, cmd, cmd.sends))
-        last = cmd.timeout_at - MARGIN_US - self._run_us(cmd) if cmd.late else start_by
+        if cmd.ran_engine >= 0 and cmd.kind.effect == api.UNIQUED:   # it must not wait past its dedup window
+            heappush(self.due, (cmd.ran_at + cmd.kind.dedup_us - MARGIN_US, cmd.order, cmd, cmd.sends))
+        last = cmd.last_at - self._run_us(cmd) if cmd.late else start_by
         heappush(self.due, (max(self.now, int(last)) + 1, cmd.order, cmd, cmd.sends))
         heappush(self.held[cmd.tenant][0 if cmd.short else 1],
                  (-benefit / max(cmd.work, 1.0), cmd.order, cmd.entry, cmd))
 
     def _run_us(self, cmd):
-        """How long it would run on an ordinary engine, as commands of its profile run at present."""
+        """How long it would run on an ordinary engine, as its profile runs at present."""
         return cmd.work / cmd.threads * self.pace[cmd.profile]
 
     def _review_held(self, cmd):
         """A held command whose time is up, or that can't make its latency target any more."""
-        kind = self.deal.profiles[cmd.profile]
-        last = cmd.timeout_at - MARGIN_US if kind.late_benefit else cmd.target_at
-        if (self.now + self._run_us(cmd) > last or self.now >= cmd.timeout_at - MARGIN_US or
-                not self._may_resend(cmd)):
+        last = cmd.last_at if cmd.kind.late_benefit else cmd.target_at
+        if self.now + self._run_us(cmd) > last or self.now >= cmd.last_at or not self._may_resend(cmd):
             self._finish(cmd)
         elif cmd.state == HELD:
             self._hold(cmd)
 
     def _review_send(self, cmd):
-        """A replayable send that runs far past the usual (bad plan or engine): start afresh elsewhere.
-
-        Guards against: bad plans, slow or standing engines. The usual pace follows the fleet, so a slowdown
-        of all stops it; so do its allowance and the budget. Harm: work lost when an estimate was too low.
-        """
-        kind = self.deal.profiles[cmd.profile]
+        """A replayable send far past the usual (bad plan, slow engine): afresh, unless most are so."""
         fresh = self._run_us(cmd)
-        until = cmd.timeout_at - MARGIN_US if kind.late_benefit else cmd.target_at
-        if (self.now + fresh > until or self.kills[cmd.profile] < 1 or not self._may_start(cmd) or
-                not self.deal.may_cancel):
-            return
-        if cmd.done and (self.now - cmd.sent_at) * (1 / cmd.done - 1) < SLOW_RUN * fresh:
-            return    # notes tell that it will soon be done
-        self.kills[cmd.profile] -= 1
-        self.out.append((api.CANCEL, cmd.id, cmd.sends - 1))
-        self._move(cmd, LEAVING)
+        until = cmd.last_at if cmd.kind.late_benefit else cmd.target_at
+        soon = cmd.done and (self.now - cmd.sent_at) * (1 / cmd.done - 1) < SLOW_RUN * fresh   # by its notes
+        if (self.now + fresh <= until and self.kills[cmd.profile] >= 1 and not soon and
+                self.deal.may_cancel and self._may_start(cmd)):
+            self.kills[cmd.profile] -= 1
+            self.out.append((api.CANCEL, cmd.id, cmd.sends - 1))
+            self._move(cmd, LEAVING)
 
     def _finish(self, cmd):
         """The final answer: shed where trying again does no harm, else failed."""
-        may = self._may_shed(cmd)
+        may = cmd.kind.effect == api.REPLAYABLE or cmd.ran_engine < 0 or (cmd.kind.effect == api.UNIQUED and
+            cmd.kind.dedup_scope == api.ALL and self.now < cmd.ran_at + cmd.kind.dedup_us)
         self.out.append((api.SHED, cmd.id, self.deal.come_back_us) if may else (api.FAIL, cmd.id))
         self._move(cmd, ENDED)
-
-    # Rules. Every send passes _may_resend, _may_start and _allowed.
-
-    def _may_shed(self, cmd):
-        kind = self.deal.profiles[cmd.profile]
-        return kind.effect == api.REPLAYABLE or cmd.ran_engine < 0 or (
-            kind.effect == api.UNIQUED and kind.dedup_scope == api.ALL and
-            self.now < cmd.ran_at + kind.dedup_us)
+        return self.out
 
     def _may_resend(self, cmd):
-        """Whether one more send can ever be allowed: effect, dedup window, cap."""
-        kind = self.deal.profiles[cmd.profile]
-        if 0 < self.deal.sends_cap <= cmd.sends:
-            return False
-        if cmd.ran_engine < 0 and cmd.state != OUT or kind.effect == api.REPLAYABLE:
-            return True
+        """Rules: whether one more send can ever be allowed: effect, dedup window, cap."""
         ran_at = cmd.ran_at if cmd.ran_engine >= 0 else cmd.sent_at
-        return kind.effect == api.UNIQUED and self.now + MARGIN_US < ran_at + kind.dedup_us
+        return not 0 < self.deal.sends_cap <= cmd.sends and (
+            cmd.ran_engine < 0 and cmd.state != OUT or cmd.kind.effect == api.REPLAYABLE or
+            cmd.kind.effect == api.UNIQUED and self.now + MARGIN_US < ran_at + cmd.kind.dedup_us)
 
     def _may_start(self, cmd):
-        """Whether a send is allowed at this moment: key at rest, budget of further sends."""
-        rests = self.deal.profiles[cmd.profile].ordered and self.now < self.key_rest.get(cmd.key, 0)
-        if self.now >= cmd.timeout_at - MARGIN_US or not self._may_resend(cmd) or rests and not cmd.sends:
-            return False
-        since = self.now - self.deal.extra_us
+        """Rules: whether a send is allowed at this moment: key at rest, budget of further sends."""
+        rests = cmd.kind.ordered and self.now < self.key_rest.get(cmd.key, 0)
         for times in (self.taken, self.extras):
-            while times and times[0] <= since:
+            while times and times[0] <= self.now - self.deal.extra_us:
                 times.popleft()
-        free = self.deal.extra_free
-        return not cmd.sends or free is None or (
-            len(self.extras) + 1 <= free + self.deal.extra_share * len(self.taken))
+        return self.now < cmd.last_at and self._may_resend(cmd) and (not rests if not cmd.sends else (
+            self.deal.extra_free is None or
+            len(self.extras) + 1 <= self.deal.extra_free + self.deal.extra_share * len(self.taken)))
 
     def _allowed(self, cmd, be):
-        """Whether the rules let this command go to this engine now."""
-        kind = self.deal.profiles[cmd.profile]
+        """Rules: whether this command may go to this engine now."""
+        kind, repeats = cmd.kind, cmd.kind.effect == api.UNIQUED and cmd.ran_engine >= 0
+        group = {api.LOCATION: self.place, api.CELL: self.cell}.get(kind.dedup_scope if repeats else api.ALL)
         if self.state[be] != api.READY or (
                 kind.locations is not None and self.place[be] not in kind.locations) or (
-                kind.kinds is not None and self.kind[be] not in kind.kinds):
+                kind.kinds is not None and self.kind[be] not in kind.kinds) or (
+                group and group[be] != group[cmd.ran_engine]):
             return False
-        if kind.effect == api.UNIQUED and cmd.ran_engine >= 0:
-            group = {api.ALL: self.state, api.LOCATION: self.place, api.CELL: self.cell}[kind.dedup_scope]
-            if kind.dedup_scope != api.ALL and group[be] != group[cmd.ran_engine]:
-                return False
         if not self._cold(be):
             return True
         # A cold engine gets our part of what it can stand; its capacity grows half as fast as a line.
-        sent, since = self.cold_sent[be], self.now - self.deal.fall_us
-        while sent and sent[0][0] <= since:
-            sent.popleft()
+        sent = sum(work for at, work in self.cold_sent[be] if at > self.now - self.deal.fall_us)
         warm = (self.now - self.born[be]) / self.deal.cold_us * (1 - self.deal.cold_from) / 2
         budget = (self.deal.fall_multiple * (self.deal.cold_from + warm) * self.cores[be] *
                   self.deal.fall_us * COLD_PART / self.deal.managers)
-        return sum(work for _, work in sent) + self.usual[cmd.profile] <= budget
+        return sent + self.usual[cmd.profile] <= budget
 
     def _cold(self, be):
         return 0 < self.born[be] > self.now - self.deal.cold_us
 
-    def _new_engine(self, ident):
-        be = self.index[ident] = len(self.ids)
-        self.ids.append(ident)
-        for name, first in ENGINE.items():
-            getattr(self, name).append(first() if callable(first) else first)
-        self.share[be] = 1.0 / self.deal.managers
-        return be
+    def _share(self):
+        """Our share of the fleet: our part of the traffic where its whole is stated, else an even one."""
+        if not self.allowance:
+            return self.part / self.deal.managers
+        rate = self.traffic * exp((self.traffic_at - self.now) / TRAFFIC_US) * 1e6 / TRAFFIC_US
+        return self.part * min(1.0, max(0.1 / self.deal.managers, rate / self.allowance))
+
+    def _slow(self, be):
+        """How much slower than the fleet, each profile against its usual: what ended there lately fades."""
+        fresh = exp((self.seen_at[be] - self.now) / STALE_US) if self.seen[be] else 0.0
+        prior = min((work for work in self.usual if work), default=1.0)
+        return (prior + self.seen_slow[be] * fresh) / (prior + self.seen[be] * fresh)
 
     def _pressed(self, be):
-        return self.slow[be] > PRESSURE or self.now < self.full_until[be]
+        return self.slow * self._slow(be) > PRESSURE or self.now < self.full_until[be]
 
     def _limit(self, be):
         """The bound on our threads there: the cap, and under pressure the fit or the sample being taken."""
-        cap = THREADS_A_CORE * self.cores[be] * self.share[be]
+        cap = THREADS_A_CORE * self.cores[be] * self._share() / max(1.0, self._slow(be))
         if self._pressed(be) and self.stage[be]:
             return cap * (1.0, SAMPLE_AT[1], SAMPLE_AT[0])[self.stage[be] - 1]
         return min(cap, self.bound[be]) if self._pressed(be) and self.bound[be] else cap
@@ -383,55 +378,57 @@
         """Throughput at the cap, at P1 and at P0, each for a window under pressure, then the fit."""
         if not self._pressed(be):
             self.stage[be] = 0
-            return
-        if not self.stage[be]:
-            if self.now >= self.fit_at[be] and not any(self.stage):   # one engine at a time: no swing in step
+        elif not self.stage[be]:
+            if self.now >= self.fit_at[be] and self._limit(be) > SAMPLE_LEAST and (
+                    not any(self.stage)):   # one engine at a time: no swing in step
                 self.fit_at[be] = self.now + REFIT_US
-                self.stage[be], self.stage_at[be], self.work_done[be], self.samples[be] = 1, self.now, 0.0, []
-            return
-        if self.now < self.stage_at[be] + WINDOW_US:
-            return
-        self.samples[be].append((self._limit(be), self.work_done[be] / (self.now - self.stage_at[be])))
-        self.stage_at[be], self.work_done[be] = self.now, 0.0
-        self.stage[be] += 1
-        if self.stage[be] > 3:
-            (p2, rate2), (p1, rate1), (p0, rate0) = self.samples[be]
-            self.bound[be] = fit_bound(p0, rate0, p1, rate1, p2, rate2)
-            self.stage[be] = 0
-
-    def _room(self, cmd, be):
+                self.stage[be], self.stage_at[be], self.work_done[be], self.samples[be] = 1, self.now, 0.0, ()
+        elif self.now >= self.stage_at[be] + WINDOW_US:
+            self.samples[be] = (self._limit(be), self.work_done[be] / (self.now - self.stage_at[be]),
+                                *self.samples[be])
+            self.stage[be] = (self.stage[be] + 1) % 4
+            self.stage_at[be], self.work_done[be] = self.now, 0.0
+            if not self.stage[be]:
+                self.bound[be] = fit_bound(*self.samples[be])
+
+    def _room_at_all(self, cmd):
+        """The sum of our bounds over the fleet, with slack for chance: many that send "one" each flood it."""
+        bound = THREADS_A_CORE * self._share() * self.ready_cores
+        bound += SLACK * (bound * self.most_threads) ** 0.5
+        return not self.total or self.total + cmd.threads <= bound * (1.0 if cmd.short else LONG_PART)
+
+    def _fits(self, cmd, be):
         limit = self._limit(be) * (1.0 if cmd.short else LONG_PART)
         return self.now >= self.full_until[be] and (
-            not self.running[be] or self.threads[be] + cmd.threads <= limit)
+            not self.running[be] or self.threads[be] + cmd.threads <= limit) and (
+            self._healthy(cmd, be) and self._allowed(cmd, be))
 
     def _choose(self, cmd):
-        """Two drawn at random among those with room, and the one that last read the data set, if it has."""
-        usual = median([self.failed[i] for i in self.index.values() if self.state[i] == api.READY] or [0.0])
-        ready = [be for be in range(len(self.ids)) if self._allowed(cmd, be) and self._room(cmd, be) and
-                 self._healthy(cmd, be, usual)]
-        if self.deal.crossing_costs:
-            ready = [be for be in ready if self.place[be] == self.deal.location] or ready
-        if len(ready) > 1:
-            first = int(self.draw() * len(ready))
-            second = int(self.draw() * (len(ready) - 1))
-            second += second >= first
-            ready = [ready[first], ready[second]] + [be for be in ready if be == self.home.get(cmd.dataset)]
-        return min(ready, key=lambda be: self._weigh(cmd, be), default=-1)
+        """Two drawn at random that may take it, and the one that last read the data set, if it has room."""
+        home = self.home.get(cmd.dataset, -1)
+        pools = (self.near, self.ready) if self.deal.crossing_costs else (self.ready,)
+        for pool in pools if self._room_at_all(cmd) else ():
+            drawn, n = [], len(pool)   # by chance; where few may take it, a walk from a point drawn at random
+            first = int(self.draw() * n)
+            for at in chain((int(self.draw() * n) for _ in range(min(4, n))), range(first, first + n)):
+                if len(drawn) < 2 and pool[at % n] not in drawn and self._fits(cmd, pool[at % n]):
+                    drawn.append(pool[at % n])
+            if len(drawn) == 2 and home not in drawn and home in pool and self._fits(cmd, home):
+                drawn.append(home)
+            if drawn:
+                return min(drawn, key=lambda be: self._weigh(cmd, be))
+        return -1
 
     def _weigh(self, cmd, be):
         """Our threads there against size and pace; a load that holds its data set comes last."""
-        kind = self.deal.profiles[cmd.profile]
-        stuck = (kind.loads or kind.stands_still) and self.now < self.closed.get((be, cmd.dataset), 0)
+        stuck = self.waits[cmd.profile] and self.now < self.closed.get((be, cmd.dataset), 0)
         warm = WARM if self.home.get(cmd.dataset) == be else 1.0   # less reading for it, not for the others
-        return stuck, (self.threads[be] + cmd.threads * warm) * self.slow[be] / self.cores[be]
-
-    def _healthy(self, cmd, be, usual):
-        """An engine that fails far more than the fleet's median gets only a trial now and then.
+        return stuck, (self.threads[be] + cmd.threads * warm) * self._slow(be) / self.cores[be]
 
-        Guards against: engines failing fast, down, unreachable. When most fail alike none stands out.
-        """
-        return self.failed[be] <= SICK[0] + SICK[1] * usual or (
-            cmd.short and self.deal.profiles[cmd.profile].effect == api.REPLAYABLE and
+    def _healthy(self, cmd, be):
+        """Failing far more than the fleet's median (failing fast, down): only a trial at times."""
+        return self.failed[be] <= SICK[0] + SICK[1] * self.usual_failed or (
+            cmd.short and cmd.kind.effect == api.REPLAYABLE and
             self.now >= self.trial_at[be])
 
     def _account(self, cmd, be, outcome, latency, cost, need):
@@ -439,8 +436,9 @@
         p = cmd.profile
         if outcome in (api.ERROR, api.RESET, api.NO_CONNECTION, api.ANSWERED):
             self.failed[be] += EASE * ((outcome != api.ANSWERED) - self.failed[be])
-        if outcome == api.FULL:
-            self.full_until[be] = self.now + FULL_US
+            if self.failed[be] > SICK[0]:
+                self.usual_failed = median(self.failed[i] for i in self.ready) if self.ready else 0.0
+        self.full_until[be] = self.now + FULL_US if outcome == api.FULL else self.full_until[be]
         if outcome not in (api.ANSWERED, api.TIMED_OUT, api.CANCELLED):
             return
         if outcome == api.ANSWERED and cost:
@@ -450,19 +448,22 @@
         # A send cut off tells a pace too, at the least: counting only answers would hide a jam.
         work = cost or cmd.work
         pace = max(latency * cmd.threads / work, 0.01)
-        self.pace[p] += EASE * (min(pace, 3 * self.pace[p]) - self.pace[p])
         if outcome == api.ANSWERED:
             self.work_done[be] += work
             self.best[p] = min(pace, self.best[p] + BEST_EASE * (pace - self.best[p]))
-        # By work, since short commands at high priority feel no jam.
-        weigh = work / (work + STEADY * max(self.usual))
-        self.slow[be] += weigh * (min(pace / min(pace, self.best[p]), 10.0) - self.slow[be])
+        fresh = exp((self.seen_at[be] - self.now) / STALE_US)
+        self.seen[be], self.seen_at[be] = self.seen[be] * fresh + work, self.now
+        self.seen_slow[be] = self.seen_slow[be] * fresh + work * min(pace / self.pace[p], 10.0)
+        self.pace[p] += EASE * (min(pace, 3 * self.pace[p]) - self.pace[p])
+        weigh = work / (work + STEADY * max(self.usual) * max(1.0, len(self.ready) / self.deal.managers))
+        self.slow += weigh * (min(pace / min(pace, self.best[p]), 10.0) - self.slow)
         self.latency[cmd.tenant] = [old + EASE * (new - old) for old, new in zip(
             self.latency[cmd.tenant], (1.0, pace, pace * pace), strict=True)]
         if self._pressed(be):
-            self.share[be] = max(LEAST_SHARE / self.deal.managers, self.share[be] * (1 - weigh))
+            self.part = max(PART[0], self.part * (1 - weigh))
         elif any(short or long for short, long in self.held):
-            self.share[be] = min(1.0, self.share[be] + weigh / self.deal.managers)
+            self.part = min(PART[1], self.part + weigh)
+        self._sample(be)
 
     def _release(self):
         """Send held commands while an engine has room for one of the tenant in turn."""
@@ -471,6 +472,7 @@
             order = sorted(tenants, key=lambda t: (self.quota[t] < 1, (t - self.turn) % len(tenants)))
             went = next((t for t in order if self._release_one(t)), None)
             if went is None:
+                self._arm()
                 return self.out
             self.quota[went] -= 1
             self.released[went] += 1
@@ -505,25 +507,22 @@
         return False
 
     def _send(self, cmd, be):
-        deal = self.deal
+        deal, need = self.deal, cmd.need * self.spread[cmd.profile]
         memory = deal.kind_memory_mb[self.kind[be]] if self.kind[be] < len(deal.kind_memory_mb) else 0.0
-        need = cmd.need * self.spread[cmd.profile]
         terms = (min(need, deal.most_grant * memory or need), 3 if cmd.short else 1)
         if terms != cmd.terms and (deal.heeds_grants or deal.heeds_priority):
             cmd.terms = terms
             self.out.append((api.TERMS, cmd.id, *terms))
         if cmd.sends:
             self.extras.append(self.now)
-        if self.failed[be] > SICK[0]:
-            self.trial_at[be] = self.now + TRIAL_US
         if self._cold(be):
             self.cold_sent[be].append((self.now, self.usual[cmd.profile]))
-        if deal.profiles[cmd.profile].loads:
+        if cmd.kind.loads:
             self.closed[be, cmd.dataset] = int(self.now + self._run_us(cmd))
         cmd.engine, cmd.sent_at, cmd.done, self.home[cmd.dataset] = be, self.now, 0.0, be
-        cmd.sends += 1
+        cmd.sends, self.trial_at[be] = cmd.sends + 1, self.now + TRIAL_US
         self.kills[cmd.profile] = min(KILLS[1], self.kills[cmd.profile] + KILLS[0])
         self._move(cmd, OUT)
-        self.out.append((api.SEND, cmd.id, self.ids[be], cmd.timeout_at - MARGIN_US))
-        if deal.profiles[cmd.profile].effect == api.REPLAYABLE:
+        self.out.append((api.SEND, cmd.id, self.ids[be], cmd.last_at))
+        if cmd.kind.effect == api.REPLAYABLE:
             heappush(self.due, (int(self.now + SLOW_RUN * self._run_us(cmd)), cmd.order, cmd, cmd.sends))
