Homes by hash, cold engines by lot, bad plans by notes, one failure tells more

Harm: homes that all fail; hence one is drawn from all. - Cold engines: an even part under one command is rounded by a lot for each window, so that all together expect the sum.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -6,7 +6,6 @@
 
 from collections import deque
 from heapq import heappop, heappush
-from itertools import chain
 from math import exp
 from random import Random
 from statistics import median
@@ -17,16 +16,14 @@
 THREADS_A_CORE = 2.0      # threads; the design's start for cap and bound
 TICK_US = 50_000          # us between looks while commands are held; far below any latency target
 MARGIN_US = 30_000        # us before a client timeout or window ends at which we stop: over one tick
-REFIT_US = 10_000_000     # us between fits of a bound, from the design
-WINDOW_US = 800_000       # us a throughput sample lasts: a few commands end in it, little is lost by it
-SAMPLE_LEAST = 4.0        # threads of a cap that is sampled: below, P0 is less than one command
-SAMPLE_AT = (0.4, 0.7)    # P0 and P1 against the cap: far apart, yet P0 does not starve the engine
+REFIT_US = (10_000_000, 800_000)   # us between fits, from the design; and of one sample: a few commands end
+SAMPLE_AT = (0.4, 0.7, 4)  # P0 and P1 against the cap: far apart; least threads of a cap worth sampling
 PRESSURE = 1.8            # pace against the best seen that is pressure: sharing cores in turn explains less
 WARM = 0.7                # weight of the engine that last read the data set: reading is part of the work
-CLOSED_US = 2_000_000     # us a note of waiting for a load keeps others off: until the next notes
 STALE_US = 6_000_000      # us in which what an engine showed fades: some long commands, less than a trouble
+HOMES = (2, 20, 1.5, 400)  # least homes of a data set; first count; spread; commands after which all halve
 TRAFFIC_US = 15_000_000   # us over which our traffic is counted for our share: longer than a burst
-FULL_US = 1_000_000       # us a full answer counts as pressure and keeps us off: a few commands' time
+FULL_US = 2_000_000       # us a full answer, or a note of waiting for a load, keeps us off: a few notes
 STEADY = 4.0              # long commands' work that outweighs the newest in the fleet's pace: few end
 PART = (0.5, 4.0)         # least and most of our share that pressure leaves: a thread a core; idle room
 SLACK = 1.0               # spreads of our threads by chance that the bound over the fleet allows
@@ -34,28 +31,23 @@
 SHORT = 2.5               # times the shortest latency target that a short command is allowed in all
 QUOTA = (1.0, 2.0, 8.0)   # least, first and most commands a round of the smallest tenant (zeta)
 LIMITS = (0.5, 1.0)       # unfairness and latency variability: half the mean count, a spread like the mean
-FORGET = 0.9              # part of the counts of released commands kept from round to round
+NEED = (0.85, 0.04)       # part of commands whose memory the grant covers: spilling costs more; its step
+SICK = (0.15, 2, 0.3, 0.3)  # share of failures and times the median that take an engine out; part of it for
+                          # long ones; weight of a failure: one tells much where few come from there
 EASE = 0.1                # weight of the newest answer in moving figures: about ten count
-BEST_EASE = 0.01          # pull on the best pace from above: forgets a lucky answer in about a hundred
-NEED_QUANTILE = 0.85      # part of commands whose memory the grant shall cover: spilling costs more than room
-NEED_STEP = 0.04          # step of that quantile's follower: settles within some fifty answers
-FIRST_NEED = 1.25         # grant over the estimate before any answer told the need: the engines' habit
-SICK = (0.15, 2.0)        # share of failures above the median, least and times, that takes an engine out
-TRIAL_US = 500_000        # us between trials on an engine that is out: a few a second could hurt clients
-SLOW_RUN = 1.8            # times the usual run after which a replayable send is held for a bad plan
+RUNS = (0.6, 1.8, 3.0)    # usual runs between looks at a send; run, or left by notes, of a bad plan
 KILLS = (0.4, 4.0)        # further sends for bad plans that each send earns, and the most saved up
-COLD_PART = 0.8           # part of the cold budget that we use: sizes and speeds are guessed
-FIRST_RUN = 0.5           # part of the latency target a run takes when nothing at all is known
+COLD_PART = (0.4, 0.25)   # part of the cold budget that we expect to use; and for one command: chance
+FIRST = (1.25, 1.5, 0.5)  # before any answer: grant over need, pace, part of the latency target a run takes
 
 HELD, BEHIND, OUT, STREAMING, LEAVING, ORPHAN, ENDED = range(7)
 MOVES = {HELD: (OUT, ENDED), BEHIND: (HELD, ENDED), OUT: (HELD, STREAMING, LEAVING, ORPHAN, ENDED),
          STREAMING: (ORPHAN, ENDED), LEAVING: (HELD, ORPHAN, ENDED), ORPHAN: (ENDED,), ENDED: ()}
 
-# Figures held for each engine, with their first values.
 ENGINE = {"state": api.GONE, "place": 0, "kind": 0, "cell": 0, "born": 0, "cores": 1.0, "threads": 0,
-          "running": 0, "bound": None, "failed": 0.0, "full_until": 0, "trial_at": 0,
-          "seen_at": 0, "seen": 0.0, "seen_slow": 0.0,   # work that ended there, and it times its slowness
-          "stage": 0, "stage_at": 0, "work_done": 0.0, "fit_at": 0, "samples": (), "cold_sent": deque}
+          "running": 0, "bound": None, "failed": 0.0, "failed_at": 0, "full_until": 0, "seen_at": 0,
+          "seen": 0.0, "seen_slow": 0.0, "stage": 0, "stage_at": 0, "work_done": 0.0, "fit_at": 0,
+          "samples": (), "cold_sent": deque, "ticket": 0.0, "ticket_at": 0}
 
 
 class Command:
@@ -66,7 +58,13 @@
         self.need, self.dataset, self.order, self.entry, self.state = need, dataset, order, 0, BEHIND
         self.last_at, self.threads = timeout_at - MARGIN_US, kind.threads   # after last_at nothing is started
         self.sends, self.engine, self.sent_at, self.ran_engine, self.ran_at = 0, -1, 0, -1, 0
-        self.terms, self.late, self.done = None, False, 0.0
+        self.done = 0.0
+
+
+def mix(one, other):
+    """A number that looks random, the same everywhere for the same two."""
+    one = (one ^ other * 0x9E3779B1) * 0x85EBCA6B & 0xFFFFFFFF
+    return (one ^ one >> 15) * 0xC2B2AE35 & 0xFFFFFFFF
 
 
 def fit_bound(p0, rate0, p1, rate1, p2, rate2):
@@ -94,31 +92,28 @@
 
     def __init__(self, seed, agreement):
         self.deal, self.draw = agreement, Random(seed).random
-        self.out, self.now, self.order = [], 0, 0
+        self.out, self.now, self.order, self.ready_cores, self.usual_failed = [], 0, 0, 0.0, 0.0
         self.commands, self.due = {}, []             # by id while owed or out; (time, order, command, sends)
         self.lines, self.key_rest = {}, {}           # commands of an ordered key; until when it rests
-        self.closed, self.home = {}, {}   # (engine, data set): until when a load holds it; data set: engine
+        # (Engine, data set): until when a load holds it. Data set: engines by rank, and commands, fading.
+        self.closed, self.ranks, self.asked, self.asked_all = {}, {}, {}, 0.0
         self.taken, self.extras = deque(), deque()   # times, for the budget of further sends
         # Profiles: usual work, bias of estimates, need against estimate, best and usual pace, kills saved up.
         n = len(agreement.profiles)
-        self.usual, self.bias, self.spread = [0.0] * n, [1.0] * n, [FIRST_NEED] * n
-        self.waits = [kind.loads or kind.stands_still for kind in agreement.profiles]
-        self.best, self.pace, self.kills = [1.0] * n, [1.0] * n, [KILLS[1]] * n
+        self.usual, self.bias, self.spread = [0.0] * n, [1.0] * n, [FIRST[0]] * n
+        self.best, self.pace, self.count, self.kills = [1.0] * n, [FIRST[1]] * n, [0] * n, [KILLS[1]] * n
         self.short_us = SHORT * min((p.target_us for p in agreement.profiles), default=0)
         # Tenants, else profiles: weight, held commands (short, long), released, quota left, latency sums.
         least = min((t.share for t in agreement.tenants if t.share > 0), default=1.0)
         self.weight = [t.share / least for t in agreement.tenants] or [1.0] * n
         self.held = [([], []) for _ in self.weight]
-        self.released, self.quota = [0.0 for _ in self.weight], [0 for _ in self.weight]
+        self.released, self.quota = [0.0] * len(self.weight), [0] * len(self.weight)
         self.latency = [[0.0, 0.0, 0.0] for _ in self.weight]
-        self.zeta, self.rose, self.turn = QUOTA[1], False, 0
         self.allowance = sum(t.allowance for t in agreement.tenants)   # what our traffic is measured against
         self.traffic, self.traffic_at = self.allowance / agreement.managers * TRAFFIC_US / 1e6, 0
         self.part, self.slow, self.total, self.armed = 1.0, 1.0, 0, None
-        # Engines: parallel arrays under a dense index.
+        self.zeta, self.rose, self.turn = QUOTA[1], False, 0
         self.index, self.ids, self.ready, self.near = {}, [], [], []
-        self.ready_cores, self.usual_failed = 0.0, 0.0
-        self.most_threads = max((kind.threads for kind in agreement.profiles), default=1)
         for name in ENGINE:
             setattr(self, name, [])
 
@@ -142,12 +137,13 @@
                 self.seen[be] = self.seen_slow[be] = self.failed[be] = self.full_until[be] = 0
                 self.cold_sent[be].clear()
             self.state[be], self.place[be], self.kind[be], self.cell[be] = state, place, kind, cell
-            cores, self.born[be] = self.deal.kind_cores, born
+            cores, self.born[be], self.stage[be] = self.deal.kind_cores, born, 0
             self.cores[be] = cores[kind] if kind < len(cores) else max(cores, default=1.0)
         for be in self.index.values() if full else ():
             self.state[be] = self.state[be] if be in seen else api.GONE
         self.ready = [be for be in self.index.values() if self.state[be] == api.READY]
         self.near = [be for be in self.ready if self.place[be] == self.deal.location]
+        self.ranks.clear()
         self.ready_cores = sum(self.cores[be] for be in self.ready)
         self.closed = {spot: until for spot, until in self.closed.items() if until > now}
         self.key_rest = {key: until for key, until in self.key_rest.items() if until > now}
@@ -166,11 +162,14 @@
         cmd = Command(ident, profile, kind, who if who < len(self.weight) else 0, key, timeout_at, need,
                       dataset, self.order)
         work = work * self.bias[profile] if work > 0 else self.usual[profile]
-        cmd.work = work or FIRST_RUN * kind.target_us * kind.threads
+        cmd.work = work or FIRST[2] * kind.target_us * kind.threads
         self.usual[profile] += EASE * (cmd.work - self.usual[profile]) if self.usual[profile] else cmd.work
         allowed = kind.target_us + kind.target_stretch * cmd.work / kind.threads
         cmd.target_at, cmd.short = int(now + allowed), allowed <= self.short_us
         self.commands[ident] = cmd
+        self.asked[dataset], self.asked_all = self.asked.get(dataset, 0.0) + 1, self.asked_all + 1
+        if self.asked_all > HOMES[3]:
+            self.asked, self.asked_all = {d: n / 2 for d, n in self.asked.items() if n > 0.5}, HOMES[3] / 2
         line = self.lines.setdefault(key, deque()) if kind.ordered and key else deque()
         line.append(cmd)
         if line[0] is cmd:
@@ -191,7 +190,7 @@
         if cmd and cmd.state == OUT and send == cmd.sends - 1 and note == api.PROGRESS:
             cmd.done = max(value, 0.01)
         elif cmd and note == api.WAITS and value >= 2:   # another gateway's load, else unseen
-            self.closed[cmd.engine, cmd.dataset] = now + CLOSED_US
+            self.closed[cmd.engine, cmd.dataset] = now + FULL_US
         return []
 
     def ended(self, now, ident, send, outcome, closed, latency, cost, need, report):
@@ -218,12 +217,10 @@
         """The client left; a send that is still out is stopped."""
         self.now, self.out = now, []
         cmd = self.commands.get(ident)
-        if cmd and cmd.state in (HELD, BEHIND):
-            self._move(cmd, ENDED)
-        elif cmd and cmd.state != ORPHAN:
-            if cmd.state == OUT and self.deal.may_cancel:
-                self.out.append((api.CANCEL, ident, cmd.sends - 1))
-            self._move(cmd, ORPHAN)
+        if cmd and cmd.state == OUT and self.deal.may_cancel:
+            self.out.append((api.CANCEL, ident, cmd.sends - 1))
+        if cmd and cmd.state != ORPHAN:
+            self._move(cmd, ENDED if cmd.state in (HELD, BEHIND) else ORPHAN)
         return self._release()
 
     def timer(self, now, token):
@@ -271,13 +268,12 @@
 
     def _hold(self, cmd):
         """Into its tenant's held commands, those with the most benefit for their work first."""
-        start_by = cmd.target_at - self._run_us(cmd)
-        cmd.late = self.now > start_by
-        benefit = cmd.kind.benefit * (cmd.kind.late_benefit if cmd.late else 1.0)
-        cmd.entry += 1
+        start_by, cmd.entry = cmd.target_at - self._run_us(cmd), cmd.entry + 1
+        late = self.now > start_by
+        benefit = cmd.kind.benefit * (cmd.kind.late_benefit if late else 1.0)
         if cmd.ran_engine >= 0 and cmd.kind.effect == api.UNIQUED:   # it must not wait past its dedup window
             heappush(self.due, (cmd.ran_at + cmd.kind.dedup_us - MARGIN_US, cmd.order, cmd, cmd.sends))
-        last = cmd.last_at - self._run_us(cmd) if cmd.late else start_by
+        last = cmd.last_at - self._run_us(cmd) if late else start_by
         heappush(self.due, (max(self.now, int(last)) + 1, cmd.order, cmd, cmd.sends))
         heappush(self.held[cmd.tenant][0 if cmd.short else 1],
                  (-benefit / max(cmd.work, 1.0), cmd.order, cmd.entry, cmd))
@@ -296,14 +292,16 @@
 
     def _review_send(self, cmd):
         """A replayable send far past the usual (bad plan, slow engine): afresh, unless most are so."""
-        fresh = self._run_us(cmd)
+        fresh, age = self._run_us(cmd), self.now - cmd.sent_at
         until = cmd.last_at if cmd.kind.late_benefit else cmd.target_at
-        soon = cmd.done and (self.now - cmd.sent_at) * (1 / cmd.done - 1) < SLOW_RUN * fresh   # by its notes
-        if (self.now + fresh <= until and self.kills[cmd.profile] >= 1 and not soon and
+        bad = age * (1 / cmd.done - 1) > RUNS[2] * fresh if cmd.done else age >= RUNS[1] * fresh
+        if (bad and self.now + fresh <= until and self.kills[cmd.profile] >= 1 and
                 self.deal.may_cancel and self._may_start(cmd)):
             self.kills[cmd.profile] -= 1
             self.out.append((api.CANCEL, cmd.id, cmd.sends - 1))
             self._move(cmd, LEAVING)
+        elif self.now + fresh <= until:
+            heappush(self.due, (int(self.now + RUNS[0] * fresh) + 1, cmd.order, cmd, cmd.sends))
 
     def _finish(self, cmd):
         """The final answer: shed where trying again does no harm, else failed."""
@@ -339,17 +337,17 @@
                 kind.kinds is not None and self.kind[be] not in kind.kinds) or (
                 group and group[be] != group[cmd.ran_engine]):
             return False
-        if not self._cold(be):
+        if not 0 < self.born[be] > self.now - self.deal.cold_us:
             return True
-        # A cold engine gets our part of what it can stand; its capacity grows half as fast as a line.
+        # A cold engine gets our even part of what it can stand (its capacity taken to grow half as fast as a
+        # line); a part under one command is rounded by a lot for each window: all together expect the sum.
+        if self.ticket_at[be] <= self.now - self.deal.fall_us:
+            self.ticket[be], self.ticket_at[be] = self.draw(), self.now
         sent = sum(work for at, work in self.cold_sent[be] if at > self.now - self.deal.fall_us)
         warm = (self.now - self.born[be]) / self.deal.cold_us * (1 - self.deal.cold_from) / 2
-        budget = (self.deal.fall_multiple * (self.deal.cold_from + warm) * self.cores[be] *
-                  self.deal.fall_us * COLD_PART / self.deal.managers)
-        return sent + self.usual[cmd.profile] <= budget
-
-    def _cold(self, be):
-        return 0 < self.born[be] > self.now - self.deal.cold_us
+        budget = self.deal.fall_multiple * (self.deal.cold_from + warm) * self.cores[be] * self.deal.fall_us
+        return cmd.work <= COLD_PART[1] * budget and (
+            sent + self.ticket[be] * cmd.work <= COLD_PART[0] * budget / self.deal.managers)
 
     def _share(self):
         """Our share of the fleet: our part of the traffic where its whole is stated, else an even one."""
@@ -358,9 +356,12 @@
         rate = self.traffic * exp((self.traffic_at - self.now) / TRAFFIC_US) * 1e6 / TRAFFIC_US
         return self.part * min(1.0, max(0.1 / self.deal.managers, rate / self.allowance))
 
+    def _fresh(self, at):
+        return exp((at - self.now) / STALE_US)   # what is left of what an engine showed then
+
     def _slow(self, be):
         """How much slower than the fleet, each profile against its usual: what ended there lately fades."""
-        fresh = exp((self.seen_at[be] - self.now) / STALE_US) if self.seen[be] else 0.0
+        fresh = self._fresh(self.seen_at[be])
         prior = min((work for work in self.usual if work), default=1.0)
         return (prior + self.seen_slow[be] * fresh) / (prior + self.seen[be] * fresh)
 
@@ -378,12 +379,10 @@
         """Throughput at the cap, at P1 and at P0, each for a window under pressure, then the fit."""
         if not self._pressed(be):
             self.stage[be] = 0
-        elif not self.stage[be]:
-            if self.now >= self.fit_at[be] and self._limit(be) > SAMPLE_LEAST and (
-                    not any(self.stage)):   # one engine at a time: no swing in step
-                self.fit_at[be] = self.now + REFIT_US
-                self.stage[be], self.stage_at[be], self.work_done[be], self.samples[be] = 1, self.now, 0.0, ()
-        elif self.now >= self.stage_at[be] + WINDOW_US:
+        elif not any(self.stage) and self.now >= self.fit_at[be] and self._limit(be) > SAMPLE_AT[2]:
+            self.fit_at[be] = self.now + REFIT_US[0]   # one engine at a time: no swing in step
+            self.stage[be], self.stage_at[be], self.work_done[be], self.samples[be] = 1, self.now, 0.0, ()
+        elif self.stage[be] and self.now >= self.stage_at[be] + REFIT_US[1]:
             self.samples[be] = (self._limit(be), self.work_done[be] / (self.now - self.stage_at[be]),
                                 *self.samples[be])
             self.stage[be] = (self.stage[be] + 1) % 4
@@ -394,67 +393,70 @@
     def _room_at_all(self, cmd):
         """The sum of our bounds over the fleet, with slack for chance: many that send "one" each flood it."""
         bound = THREADS_A_CORE * self._share() * self.ready_cores
-        bound += SLACK * (bound * self.most_threads) ** 0.5
+        bound += SLACK * (bound * max(kind.threads for kind in self.deal.profiles)) ** 0.5
         return not self.total or self.total + cmd.threads <= bound * (1.0 if cmd.short else LONG_PART)
 
     def _fits(self, cmd, be):
+        """Room, the rules, and health: failing far more than the fleet's median, none till that fades."""
         limit = self._limit(be) * (1.0 if cmd.short else LONG_PART)
+        most = SICK[0] * (1 if cmd.short and cmd.kind.effect == api.REPLAYABLE else SICK[2])
         return self.now >= self.full_until[be] and (
-            not self.running[be] or self.threads[be] + cmd.threads <= limit) and (
-            self._healthy(cmd, be) and self._allowed(cmd, be))
+            not self.running[be] or self.threads[be] + cmd.threads <= limit) and self._allowed(cmd, be) and (
+            self.failed[be] * self._fresh(self.failed_at[be]) <= most + SICK[1] * self.usual_failed)
 
     def _choose(self, cmd):
-        """Two drawn at random that may take it, and the one that last read the data set, if it has room."""
-        home = self.home.get(cmd.dataset, -1)
-        pools = (self.near, self.ready) if self.deal.crossing_costs else (self.ready,)
-        for pool in pools if self._room_at_all(cmd) else ():
-            drawn, n = [], len(pool)   # by chance; where few may take it, a walk from a point drawn at random
-            first = int(self.draw() * n)
-            for at in chain((int(self.draw() * n) for _ in range(min(4, n))), range(first, first + n)):
-                if len(drawn) < 2 and pool[at % n] not in drawn and self._fits(cmd, pool[at % n]):
-                    drawn.append(pool[at % n])
-            if len(drawn) == 2 and home not in drawn and home in pool and self._fits(cmd, home):
-                drawn.append(home)
-            if drawn:
-                return min(drawn, key=lambda be: self._weigh(cmd, be))
-        return -1
-
-    def _weigh(self, cmd, be):
+        """Two drawn at random from the data set's homes (all gateways rank them alike), and one from all."""
+        if not self._room_at_all(cmd) or not self.ready:
+            return -1
+        pool = self.near if self.deal.crossing_costs and self.near else self.ready
+        if cmd.dataset not in self.ranks:
+            self.ranks[cmd.dataset] = sorted(pool, key=lambda be: mix(self.ids[be], cmd.dataset))
+        part = self.asked.get(cmd.dataset, 0.0) / (self.asked_all + HOMES[1])
+        homes = self.ranks[cmd.dataset][:HOMES[0] + int(part * len(pool) * HOMES[2])]
+        drawn = self._drawn(cmd, homes, 2, [])
+        drawn = self._drawn(cmd, pool, max(2, len(drawn) + 1), drawn) or self._drawn(cmd, self.ready, 2, [])
+        return min(drawn, key=lambda be: self._weigh(cmd, be, be in homes), default=-1)
+
+    def _drawn(self, cmd, pool, want, drawn):
+        """Engines drawn by chance; where few may take the command, by a walk from a point drawn at random."""
+        n, first = len(pool), int(self.draw() * len(pool))
+        for at in [int(self.draw() * n) for _ in range(min(4, n))] + list(range(first, first + n)):
+            if len(drawn) < want and pool[at % n] not in drawn and self._fits(cmd, pool[at % n]):
+                drawn.append(pool[at % n])
+        return drawn
+
+    def _weigh(self, cmd, be, home):
         """Our threads there against size and pace; a load that holds its data set comes last."""
-        stuck = self.waits[cmd.profile] and self.now < self.closed.get((be, cmd.dataset), 0)
-        warm = WARM if self.home.get(cmd.dataset) == be else 1.0   # less reading for it, not for the others
+        stuck = (cmd.kind.loads or cmd.kind.stands_still) and self.now < self.closed.get((be, cmd.dataset), 0)
+        warm = WARM if home else 1.0   # less reading for it, not for the others
         return stuck, (self.threads[be] + cmd.threads * warm) * self._slow(be) / self.cores[be]
 
-    def _healthy(self, cmd, be):
-        """Failing far more than the fleet's median (failing fast, down): only a trial at times."""
-        return self.failed[be] <= SICK[0] + SICK[1] * self.usual_failed or (
-            cmd.short and cmd.kind.effect == api.REPLAYABLE and
-            self.now >= self.trial_at[be])
-
     def _account(self, cmd, be, outcome, latency, cost, need):
         """What an outcome tells about its engine and its profile."""
-        p = cmd.profile
+        p, work = cmd.profile, cost or cmd.work
         if outcome in (api.ERROR, api.RESET, api.NO_CONNECTION, api.ANSWERED):
-            self.failed[be] += EASE * ((outcome != api.ANSWERED) - self.failed[be])
-            if self.failed[be] > SICK[0]:
-                self.usual_failed = median(self.failed[i] for i in self.ready) if self.ready else 0.0
+            step, bad = (EASE, 0) if outcome == api.ANSWERED else (SICK[3], 1)
+            left, self.failed_at[be] = self.failed[be] * self._fresh(self.failed_at[be]), self.now
+            self.failed[be] = left + step * (bad - left)
+            if bad and self.ready:
+                self.usual_failed = median(self.failed[i] * self._fresh(self.failed_at[i])
+                                           for i in self.ready)
         self.full_until[be] = self.now + FULL_US if outcome == api.FULL else self.full_until[be]
         if outcome not in (api.ANSWERED, api.TIMED_OUT, api.CANCELLED):
             return
-        if outcome == api.ANSWERED and cost:
-            self.bias[p] += EASE * (min(max(cost / cmd.work, 0.2), 5.0) - 1.0) * self.bias[p]
         if need and cmd.need:
-            self.spread[p] += NEED_STEP * (NEED_QUANTILE - (need <= self.spread[p] * cmd.need))
+            self.spread[p] += NEED[1] * (NEED[0] - (need <= self.spread[p] * cmd.need))
         # A send cut off tells a pace too, at the least: counting only answers would hide a jam.
-        work = cost or cmd.work
         pace = max(latency * cmd.threads / work, 0.01)
         if outcome == api.ANSWERED:
+            self.bias[p] += EASE * (min(max(work / cmd.work, 0.2), 5.0) - 1.0) * self.bias[p]
             self.work_done[be] += work
-            self.best[p] = min(pace, self.best[p] + BEST_EASE * (pace - self.best[p]))
-        fresh = exp((self.seen_at[be] - self.now) / STALE_US)
+            self.best[p] = min(pace, self.best[p] + EASE / 10 * (pace - self.best[p]))
+        fresh = self._fresh(self.seen_at[be])
         self.seen[be], self.seen_at[be] = self.seen[be] * fresh + work, self.now
         self.seen_slow[be] = self.seen_slow[be] * fresh + work * min(pace / self.pace[p], 10.0)
-        self.pace[p] += EASE * (min(pace, 3 * self.pace[p]) - self.pace[p])
+        self.count[p] += 1
+        self.pace[p] += max(EASE, 1 / (2 + self.count[p])) * (min(pace, 3 * self.pace[p]) - self.pace[p])
         weigh = work / (work + STEADY * max(self.usual) * max(1.0, len(self.ready) / self.deal.managers))
         self.slow += weigh * (min(pace / min(pace, self.best[p]), 10.0) - self.slow)
         self.latency[cmd.tenant] = [old + EASE * (new - old) for old, new in zip(
@@ -493,7 +495,7 @@
             self.zeta, self.rose = max(self.zeta / 2, QUOTA[0]), False
         for i, weight in enumerate(self.weight):
             self.quota[i] = max(1, round(weight * self.zeta))
-            self.released[i] *= FORGET
+            self.released[i] *= 1 - EASE
 
     def _release_one(self, tenant):
         """Send the tenant's best held command that fits anywhere; whether one went."""
@@ -510,19 +512,19 @@
         deal, need = self.deal, cmd.need * self.spread[cmd.profile]
         memory = deal.kind_memory_mb[self.kind[be]] if self.kind[be] < len(deal.kind_memory_mb) else 0.0
         terms = (min(need, deal.most_grant * memory or need), 3 if cmd.short else 1)
-        if terms != cmd.terms and (deal.heeds_grants or deal.heeds_priority):
-            cmd.terms = terms
+        if deal.heeds_grants or deal.heeds_priority:
             self.out.append((api.TERMS, cmd.id, *terms))
         if cmd.sends:
             self.extras.append(self.now)
-        if self._cold(be):
-            self.cold_sent[be].append((self.now, self.usual[cmd.profile]))
+        if self.born[be] > self.now - deal.cold_us:
+            self.cold_sent[be].append((self.now, cmd.work))
+            self.ticket_at[be] = 0
         if cmd.kind.loads:
             self.closed[be, cmd.dataset] = int(self.now + self._run_us(cmd))
-        cmd.engine, cmd.sent_at, cmd.done, self.home[cmd.dataset] = be, self.now, 0.0, be
-        cmd.sends, self.trial_at[be] = cmd.sends + 1, self.now + TRIAL_US
+        cmd.engine, cmd.sent_at, cmd.done = be, self.now, 0.0
+        cmd.sends += 1
         self.kills[cmd.profile] = min(KILLS[1], self.kills[cmd.profile] + KILLS[0])
         self._move(cmd, OUT)
         self.out.append((api.SEND, cmd.id, self.ids[be], cmd.last_at))
         if cmd.kind.effect == api.REPLAYABLE:
-            heappush(self.due, (int(self.now + SLOW_RUN * self._run_us(cmd)), cmd.order, cmd, cmd.sends))
+            heappush(self.due, (int(self.now + RUNS[0] * self._run_us(cmd)), cmd.order, cmd, cmd.sends))
