--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -21,7 +21,7 @@
 PRESSURE = 1.8            # pace against the best seen that is pressure: sharing cores in turn explains less
 WARM = 0.7                # weight of the engine that last read the data set: reading is part of the work
 STALE_US = 6_000_000      # us in which what an engine showed fades: some long commands, less than a trouble
-HOMES = (2, 20, 1.5, 400)  # least homes of a data set; first count; spread; commands after which all halve
+HOMES = (3, 20, 2.0, 400)  # least homes of a data set; first count; spread; commands after which all halve
 TRAFFIC_US = 15_000_000   # us over which our traffic is counted for our share: longer than a burst
 FULL_US = 2_000_000       # us a full answer, or a note of waiting for a load, keeps us off: a few notes
 STEADY = 4.0              # long commands' work that outweighs the newest in the fleet's pace: few end
@@ -413,8 +413,11 @@
             self.ranks[cmd.dataset] = sorted(pool, key=lambda be: mix(self.ids[be], cmd.dataset))
         part = self.asked.get(cmd.dataset, 0.0) / (self.asked_all + HOMES[1])
         homes = self.ranks[cmd.dataset][:HOMES[0] + int(part * len(pool) * HOMES[2])]
-        drawn = self._drawn(cmd, homes, 2, [])
-        drawn = self._drawn(cmd, pool, max(2, len(drawn) + 1), drawn) or self._drawn(cmd, self.ready, 2, [])
+        # A load goes elsewhere if readers stand still behind it: they read its data set at home.
+        apart = cmd.kind.loads and any(kind.stands_still for kind in self.deal.profiles)
+        drawn = self._drawn(cmd, [be for be in pool if be not in homes] if apart else homes, 2, [])
+        drawn = self._drawn(cmd, pool, 2 if apart else max(2, len(drawn) + 1), drawn)
+        drawn = drawn or self._drawn(cmd, self.ready, 2, [])
         return min(drawn, key=lambda be: self._weigh(cmd, be, be in homes), default=-1)
 
     def _drawn(self, cmd, pool, want, drawn):
