Loads that readers stand still behind have the far half of each data set's ranking, readers the near

Cause: loads bunch on the engines that read the same data set, and readers wait there for seconds. Acts only where some profile stands still behind loads.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -32,8 +32,7 @@
 QUOTA = (1.0, 2.0, 8.0)   # least, first and most commands a round of the smallest tenant (zeta)
 LIMITS = (0.5, 1.0)       # unfairness and latency variability: half the mean count, a spread like the mean
 NEED = (0.85, 0.04)       # part of commands whose memory the grant covers: spilling costs more; its step
-SICK = (0.15, 2, 0.3, 0.3)  # share of failures and times the median that take an engine out; part of it for
-                          # long ones; weight of a failure: one tells much where few come from there
+SICK = (0.15, 2, 0.3, 0.3)  # share of failures, over times the median, that is sick; part for long ones; step
 EASE = 0.1                # weight of the newest answer in moving figures: about ten count
 RUNS = (0.6, 1.8, 3.0)    # usual runs between looks at a send; run, or left by notes, of a bad plan
 KILLS = (0.4, 4.0)        # further sends for bad plans that each send earns, and the most saved up
@@ -279,8 +278,7 @@
                  (-benefit / max(cmd.work, 1.0), cmd.order, cmd.entry, cmd))
 
     def _run_us(self, cmd):
-        """How long it would run on an ordinary engine, as its profile runs at present."""
-        return cmd.work / cmd.threads * self.pace[cmd.profile]
+        return cmd.work / cmd.threads * self.pace[cmd.profile]   # on an ordinary engine, at present
 
     def _review_held(self, cmd):
         """A held command whose time is up, or that can't make its latency target any more."""
@@ -411,13 +409,12 @@
         pool = self.near if self.deal.crossing_costs and self.near else self.ready
         if cmd.dataset not in self.ranks:
             self.ranks[cmd.dataset] = sorted(pool, key=lambda be: mix(self.ids[be], cmd.dataset))
-        part = self.asked.get(cmd.dataset, 0.0) / (self.asked_all + HOMES[1])
-        homes = self.ranks[cmd.dataset][:HOMES[0] + int(part * len(pool) * HOMES[2])]
-        # A load goes elsewhere if readers stand still behind it: they read its data set at home.
-        apart = cmd.kind.loads and any(kind.stands_still for kind in self.deal.profiles)
-        drawn = self._drawn(cmd, [be for be in pool if be not in homes] if apart else homes, 2, [])
-        drawn = self._drawn(cmd, pool, 2 if apart else max(2, len(drawn) + 1), drawn)
-        drawn = drawn or self._drawn(cmd, self.ready, 2, [])
+        part, rest = self.asked.get(cmd.dataset, 0.0) / (self.asked_all + HOMES[1]), self.ranks[cmd.dataset]
+        homes, half = rest[:HOMES[0] + int(part * len(pool) * HOMES[2])], len(pool) // 2
+        if half and any(kind.stands_still for kind in self.deal.profiles):   # loads: a half apart
+            homes, rest = (rest[half:], rest[half:]) if cmd.kind.loads else (homes[:half], rest[:half])
+        drawn = self._drawn(cmd, homes, 2, [])
+        drawn = self._drawn(cmd, rest, max(2, len(drawn) + 1), drawn) or self._drawn(cmd, self.ready, 2, [])
         return min(drawn, key=lambda be: self._weigh(cmd, be, be in homes), default=-1)
 
     def _drawn(self, cmd, pool, want, drawn):
