--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -31,13 +31,13 @@
 SHORT = 2.5               # times the shortest latency target that a short command is allowed in all
 QUOTA = (1.0, 2.0, 8.0)   # least, first and most commands a round of the smallest tenant (zeta)
 LIMITS = (0.5, 1.0)       # unfairness and latency variability: half the mean count, a spread like the mean
-NEED = (0.94, 0.04)       # part of commands whose memory the grant covers: spilling costs more; its step
+NEED = (1.1, 0.2, 2.0)    # first mean of need over estimate, its spread; spreads granted: spilling costs more
 SICK = (0.15, 2, 0.3, 0.3)  # share of failures, over times the median, that is sick; part for long ones; step
 EASE = 0.1                # weight of the newest answer in moving figures: about ten count
 RUNS = (0.6, 1.8, 3.0)    # usual runs between looks at a send; run, or left by notes, of a bad plan
 KILLS = (0.4, 4.0)        # further sends for bad plans that each send earns, and the most saved up
 COLD_PART = (0.4, 0.25)   # part of the cold budget that we expect to use; and for one command: chance
-FIRST = (1.25, 1.5, 0.5)  # before any answer: grant over need, pace, part of the latency target a run takes
+FIRST = (1.5, 0.5)        # before any answer: pace; part of the latency target that a run takes
 
 HELD, BEHIND, OUT, STREAMING, LEAVING, ORPHAN, ENDED = range(7)
 MOVES = {HELD: (OUT, ENDED), BEHIND: (HELD, ENDED), OUT: (HELD, STREAMING, LEAVING, ORPHAN, ENDED),
@@ -99,8 +99,8 @@
         self.taken, self.extras = deque(), deque()   # times, for the budget of further sends
         # Profiles: usual work, bias of estimates, need against estimate, best and usual pace, kills saved up.
         n = len(agreement.profiles)
-        self.usual, self.bias, self.spread = [0.0] * n, [1.0] * n, [FIRST[0]] * n
-        self.best, self.pace, self.count, self.kills = [1.0] * n, [FIRST[1]] * n, [0] * n, [KILLS[1]] * n
+        self.usual, self.bias, self.spread = [0.0] * n, [1.0] * n, [NEED[:2]] * n
+        self.best, self.pace, self.count, self.kills = [1.0] * n, [FIRST[0]] * n, [0] * n, [KILLS[1]] * n
         self.short_us = SHORT * min((p.target_us for p in agreement.profiles), default=0)
         # Tenants, else profiles: weight, held commands (short, long), released, quota left, latency sums.
         least = min((t.share for t in agreement.tenants if t.share > 0), default=1.0)
@@ -156,15 +156,15 @@
             return [] if ident in self.commands else [(api.FAIL, ident)]
         kind, who = self.deal.profiles[profile], tenant if self.deal.tenants else profile
         self.order += 1
-        self.traffic = self.traffic * exp((self.traffic_at - now) / TRAFFIC_US) + 1
-        self.traffic_at = now
+        self.traffic, self.traffic_at = self.traffic * exp((self.traffic_at - now) / TRAFFIC_US) + 1, now
         cmd = Command(ident, profile, kind, who if who < len(self.weight) else 0, key, timeout_at, need,
                       dataset, self.order)
         work = work * self.bias[profile] if work > 0 else self.usual[profile]
-        cmd.work = work or FIRST[2] * kind.target_us * kind.threads
+        cmd.work = work or FIRST[1] * kind.target_us * kind.threads
         self.usual[profile] += EASE * (cmd.work - self.usual[profile]) if self.usual[profile] else cmd.work
         allowed = kind.target_us + kind.target_stretch * cmd.work / kind.threads
         cmd.target_at, cmd.short = int(now + allowed), allowed <= self.short_us
+        cmd.until = cmd.last_at if kind.late_benefit else cmd.target_at   # while an answer still earns
         self.commands[ident] = cmd
         self.asked[dataset], self.asked_all = self.asked.get(dataset, 0.0) + 1, self.asked_all + 1
         if self.asked_all > HOMES[3]:
@@ -282,8 +282,7 @@
 
     def _review_held(self, cmd):
         """A held command whose time is up, or that can't make its latency target any more."""
-        last = cmd.last_at if cmd.kind.late_benefit else cmd.target_at
-        if self.now + self._run_us(cmd) > last or self.now >= cmd.last_at or not self._may_resend(cmd):
+        if self.now + self._run_us(cmd) > cmd.until or self.now >= cmd.last_at or not self._may_resend(cmd):
             self._finish(cmd)
         elif cmd.state == HELD:
             self._hold(cmd)
@@ -291,14 +290,13 @@
     def _review_send(self, cmd):
         """A replayable send far past the usual (bad plan, slow engine): afresh, unless most are so."""
         fresh, age = self._run_us(cmd), self.now - cmd.sent_at
-        until = cmd.last_at if cmd.kind.late_benefit else cmd.target_at
         bad = age * (1 / cmd.done - 1) > RUNS[2] * fresh if cmd.done else age >= RUNS[1] * fresh
-        if (bad and self.now + fresh <= until and self.kills[cmd.profile] >= 1 and
+        if (bad and self.now + fresh <= cmd.until and self.kills[cmd.profile] >= 1 and
                 self.deal.may_cancel and self._may_start(cmd)):
             self.kills[cmd.profile] -= 1
             self.out.append((api.CANCEL, cmd.id, cmd.sends - 1))
             self._move(cmd, LEAVING)
-        elif self.now + fresh <= until:
+        elif self.now + fresh <= cmd.until:
             heappush(self.due, (int(self.now + RUNS[0] * fresh) + 1, cmd.order, cmd, cmd.sends))
 
     def _finish(self, cmd):
@@ -428,8 +426,8 @@
     def _weigh(self, cmd, be, home):
         """Our threads there against size and pace; a load that holds its data set comes last."""
         stuck = (cmd.kind.loads or cmd.kind.stands_still) and self.now < self.closed.get((be, cmd.dataset), 0)
-        warm = WARM if home else 1.0   # less reading for it, not for the others
-        return stuck, (self.threads[be] + cmd.threads * warm) * self._slow(be) / self.cores[be]
+        threads = self.threads[be] + cmd.threads * (WARM if home else 1)   # less reading, not for the others
+        return stuck, threads * self._slow(be) / self.cores[be]
 
     def _account(self, cmd, be, outcome, latency, cost, need):
         """What an outcome tells about its engine and its profile."""
@@ -444,10 +442,12 @@
         self.full_until[be] = self.now + FULL_US if outcome == api.FULL else self.full_until[be]
         if outcome not in (api.ANSWERED, api.TIMED_OUT, api.CANCELLED):
             return
+        self.count[p] += 1
+        step = max(EASE, 1 / (2 + self.count[p]))
         if need and cmd.need:
-            self.spread[p] += NEED[1] * (NEED[0] - (need <= self.spread[p] * cmd.need))
-        # A send cut off tells a pace too, at the least: counting only answers would hide a jam.
-        pace = max(latency * cmd.threads / work, 0.01)
+            (mean, wide), off = self.spread[p], need / cmd.need - self.spread[p][0]
+            self.spread[p] = mean + off * step, wide + (abs(off) - wide) * step
+        pace = max(latency * cmd.threads / work, 0.01)   # of a send cut off too: a jam is not to be hidden
         if outcome == api.ANSWERED:
             self.bias[p] += EASE * (min(max(work / cmd.work, 0.2), 5.0) - 1.0) * self.bias[p]
             self.work_done[be] += work
@@ -455,8 +455,7 @@
         fresh = self._fresh(self.seen_at[be])
         self.seen[be], self.seen_at[be] = self.seen[be] * fresh + work, self.now
         self.seen_slow[be] = self.seen_slow[be] * fresh + work * min(pace / self.pace[p], 10.0)
-        self.count[p] += 1
-        self.pace[p] += max(EASE, 1 / (2 + self.count[p])) * (min(pace, 3 * self.pace[p]) - self.pace[p])
+        self.pace[p] += step * (min(pace, 3 * self.pace[p]) - self.pace[p])
         weigh = work / (work + STEADY * max(self.usual) * max(1.0, len(self.ready) / self.deal.managers))
         self.slow += weigh * (min(pace / min(pace, self.best[p]), 10.0) - self.slow)
         self.latency[cmd.tenant] = [old + EASE * (new - old) for old, new in zip(
@@ -504,16 +503,16 @@
                 heappop(heap)
             be = self._choose(heap[0][3]) if heap and self._may_start(heap[0][3]) else -1
             if be >= 0:
-                self._send(heappop(heap)[3], be)
-                return True
+                return self._send(heappop(heap)[3], be)
         return False
 
     def _send(self, cmd, be):
-        deal, need = self.deal, cmd.need * self.spread[cmd.profile]
+        deal, (mean, wide) = self.deal, self.spread[cmd.profile]
         memory = deal.kind_memory_mb[self.kind[be]] if self.kind[be] < len(deal.kind_memory_mb) else 0.0
-        terms = (min(need, deal.most_grant * memory or need), 3 if cmd.short else 1)
+        need = cmd.need * (mean + NEED[2] * wide)
         if deal.heeds_grants or deal.heeds_priority:
-            self.out.append((api.TERMS, cmd.id, *terms))
+            grant = min(need, deal.most_grant * memory or need)
+            self.out.append((api.TERMS, cmd.id, grant, 3 if cmd.short else 1))
         if cmd.sends:
             self.extras.append(self.now)
         if self.born[be] > self.now - deal.cold_us:
@@ -528,3 +527,4 @@
         self.out.append((api.SEND, cmd.id, self.ids[be], cmd.last_at))
         if cmd.kind.effect == api.REPLAYABLE:
             heappush(self.due, (int(self.now + RUNS[0] * self._run_us(cmd)), cmd.order, cmd, cmd.sends))
+        return True
