--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -36,7 +36,7 @@
 EASE = 0.1                # weight of the newest answer in moving figures: about ten count
 RUNS = (0.6, 1.8, 3.0)    # usual runs between looks at a send; run, or left by notes, of a bad plan
 KILLS = (0.4, 4.0)        # further sends for bad plans that each send earns, and the most saved up
-COLD_PART = (0.4, 0.25)   # part of the cold budget that we expect to use; and for one command: chance
+COLD_PART = (0.7, 0.4)    # part of the cold budget that we expect to use; and for one command: chance
 FIRST = (1.5, 0.5)        # before any answer: pace; part of the latency target that a run takes
 
 HELD, BEHIND, OUT, STREAMING, LEAVING, ORPHAN, ENDED = range(7)
