--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -20,7 +20,7 @@
 SAMPLE_AT = (0.4, 0.7, 4)  # P0 and P1 against the cap: far apart; least threads of a cap worth sampling
 PRESSURE = 1.8            # pace against the best seen that is pressure: sharing cores in turn explains less
 WARM = 0.7                # weight of the engine that last read the data set: reading is part of the work
-STALE_US = 6_000_000      # us in which what an engine showed fades: some long commands, less than a trouble
+STALE_US = 12_000_000     # us in which what an engine showed fades: some long commands, less than a trouble
 HOMES = (3, 20, 2.0, 400)  # least homes of a data set; first count; spread; commands after which all halve
 TRAFFIC_US = 15_000_000   # us over which our traffic is counted for our share: longer than a burst
 FULL_US = 2_000_000       # us a full answer, or a note of waiting for a load, keeps us off: a few notes
@@ -36,7 +36,7 @@
 EASE = 0.1                # weight of the newest answer in moving figures: about ten count
 RUNS = (0.6, 1.8, 3.0)    # usual runs between looks at a send; run, or left by notes, of a bad plan
 KILLS = (0.4, 4.0)        # further sends for bad plans that each send earns, and the most saved up
-COLD_PART = (0.7, 0.4)    # part of the cold budget that we expect to use; and for one command: chance
+COLD_PART = (0.5, 0.25)   # part of the cold budget that we expect to use; and for one command: chance
 FIRST = (1.5, 0.5)        # before any answer: pace; part of the latency target that a run takes
 
 HELD, BEHIND, OUT, STREAMING, LEAVING, ORPHAN, ENDED = range(7)
