--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -95,7 +95,7 @@
         self.commands, self.due = {}, []             # by id while owed or out; (time, order, command, sends)
         # (Engine, data set): until when a load holds it. Data set: engines by rank, and commands, fading.
         self.closed, self.ranks, self.asked, self.asked_all = {}, {}, {}, 0.0
-        self.lines, self.key_rest, self.taken, self.extras = {}, {}, deque(), deque()   # by key; times of sends
+        self.lines, self.key_rest, self.taken, self.extras = {}, {}, deque(), deque()   # by key; times
         # Profiles: usual work, bias of estimates, need against estimate, best and usual pace, kills saved up.
         n = len(agreement.profiles)
         self.usual, self.bias, self.spread = [0.0] * n, [1.0] * n, [NEED[:2]] * n
@@ -410,9 +410,9 @@
         homes, half = rest[:HOMES[0] + int(part * len(pool) * HOMES[2])], len(pool) // 2
         if half and any(kind.stands_still for kind in self.deal.profiles):   # loads: a half apart
             homes, rest = (rest[half:], rest[half:]) if cmd.kind.loads else (homes[:half], rest[:half])
-        more = not cmd.short and self._limit(pool[0]) < cmd.threads   # our counts say nothing
-        drawn = self._drawn(cmd, homes, 2 + more, [])
-        drawn = self._drawn(cmd, rest, max(2, len(drawn) + 1 + more), drawn) or self._drawn(cmd, self.ready, 2, [])
+        n = 2 + (not cmd.short and self._limit(pool[0]) < cmd.threads)   # more where our counts say nothing
+        drawn = self._drawn(cmd, homes, n, [])
+        drawn = self._drawn(cmd, rest, max(2, len(drawn) + n - 1), drawn) or self._drawn(cmd, self.ready, 2, [])
         return min(drawn, key=lambda be: self._weigh(cmd, be, be in homes), default=-1)
 
     def _drawn(self, cmd, pool, want, drawn):
