--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -112,8 +112,7 @@
         self.part, self.slow, self.total, self.armed = 1.0, 1.0, 0, None
         self.zeta, self.rose, self.turn = QUOTA[1], False, 0
         self.index, self.ids, self.ready, self.near = {}, [], [], []
-        for name in ENGINE:
-            setattr(self, name, [])
+        vars(self).update({name: [] for name in ENGINE})   # parallel arrays under the dense index
 
     def start(self, now):
         """The instance begins."""
@@ -412,7 +411,8 @@
             homes, rest = (rest[half:], rest[half:]) if cmd.kind.loads else (homes[:half], rest[:half])
         n = 2 + (not cmd.short and self._limit(pool[0]) < cmd.threads)   # more where our counts say nothing
         drawn = self._drawn(cmd, homes, n, [])
-        drawn = self._drawn(cmd, rest, max(2, len(drawn) + n - 1), drawn) or self._drawn(cmd, self.ready, 2, [])
+        drawn = self._drawn(cmd, rest, max(2, n - 1 + len(drawn)), drawn)
+        drawn = drawn or self._drawn(cmd, self.ready, 2, [])
         return min(drawn, key=lambda be: self._weigh(cmd, be, be in homes), default=-1)
 
     def _drawn(self, cmd, pool, want, drawn):
