--- a/gullhold/drill/frames.py
+++ b/gullhold/drill/frames.py
@@ -122,8 +122,7 @@
         key_rest_us=micros(number("rules.order_settle")),
         extra_free=number("rules.min_extra") if budget else None,
         extra_share=number("rules.extra_share"), extra_us=micros(number("rules.ratio_span")),
-        crossing_costs=number("charges.cross_zone") > 0,
-        report_held=(several("telemetry.fields") + ["inflight"]).index("inflight"))
+        crossing_costs=number("charges.cross_zone") > 0)
 
 
 def line(code, instance, text):
--- a/gullhold/interface.py
+++ b/gullhold/interface.py
@@ -79,4 +79,3 @@
     extra_share: float
     extra_us: int
     crossing_costs: bool
-    report_held: int = -1       # place, in a load report, of the commands that an engine holds; -1: not told
