Each engine is looked at once for a command, where three walks could look at it again

Found in the last reading: an engine that did not fit among the homes was checked again in the location and in the fleet.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -140,8 +140,7 @@
             self.state[be] = self.state[be] if be in seen else api.GONE
         self.ready = [be for be in self.index.values() if self.state[be] == api.READY]
         self.near = [be for be in self.ready if self.place[be] == self.deal.location]
-        self.ranks.clear()
-        self.ready_cores = sum(self.cores[be] for be in self.ready)
+        self.ranks, self.ready_cores = {}, sum(self.cores[be] for be in self.ready)
         self.closed = {spot: until for spot, until in self.closed.items() if until > now}
         self.key_rest = {key: until for key, until in self.key_rest.items() if until > now}
         return self._release()
@@ -409,18 +408,19 @@
         homes, half = rest[:HOMES[0] + int(part * len(pool) * HOMES[2])], len(pool) // 2
         if half and any(kind.stands_still for kind in self.deal.profiles):   # loads: a half apart
             homes, rest = (rest[half:], rest[half:]) if cmd.kind.loads else (homes[:half], rest[:half])
-        n = 2 + (not cmd.short and self._limit(pool[0]) < cmd.threads)   # more where our counts say nothing
-        drawn = self._drawn(cmd, homes, n, [])
-        drawn = self._drawn(cmd, rest, max(2, n - 1 + len(drawn)), drawn)
-        drawn = drawn or self._drawn(cmd, self.ready, 2, [])
+        n, seen = 2 + (not cmd.short and self._limit(pool[0]) < cmd.threads), set()   # counts say nothing
+        drawn = self._drawn(cmd, homes, n, [], seen)
+        drawn = self._drawn(cmd, rest, max(2, n - 1 + len(drawn)), drawn, seen)
+        drawn = drawn or self._drawn(cmd, self.ready, 2, [], seen)
         return min(drawn, key=lambda be: self._weigh(cmd, be, be in homes), default=-1)
 
-    def _drawn(self, cmd, pool, want, drawn):
+    def _drawn(self, cmd, pool, want, drawn, seen):
         """Engines drawn by chance; where few may take the command, by a walk from a point drawn at random."""
         n, first = len(pool), int(self.draw() * len(pool))
         for at in [int(self.draw() * n) for _ in range(min(4, n))] + list(range(first, first + n)):
-            if len(drawn) < want and pool[at % n] not in drawn and self._fits(cmd, pool[at % n]):
-                drawn.append(pool[at % n])
+            be = pool[at % n]   # each looked at once
+            if len(drawn) < want and be not in seen and not seen.add(be) and self._fits(cmd, be):
+                drawn.append(be)
         return drawn
 
     def _weigh(self, cmd, be, home):
