--- a/gullhold/drill/host.py
+++ b/gullhold/drill/host.py
@@ -3,7 +3,7 @@
 import struct
 import traceback
 
-from gullhold import policy
+from gullhold import agreement, policy
 from gullhold.drill import frames
 
 NEW_INSTANCE, ANNOUNCE, ARRIVAL, ESTABLISHED, ANSWER, CLIENT_GONE = 1, 2, 3, 4, 5, 6
@@ -50,7 +50,7 @@
         _, seed, size = frames.NEW_INSTANCE.unpack_from(fields)
         at = frames.NEW_INSTANCE.size
         text = bytes(fields[at:at + size]).decode("utf-8", "replace")
-        self.gateways[who] = policy.Gateway(seed, frames.agreement(text))
+        self.gateways[who] = policy.Gateway(seed, agreement.read(agreement.tree_of(text)))
         return self.gateways[who].start(self.now)
 
     def _announce(self, who, fields):
--- a/gullhold/interface.py
+++ b/gullhold/interface.py
@@ -1,8 +1,8 @@
 """What the decision module and its fronts share: what a deployment agreed to, and the verbs of results.
 
-A front (today the drill adapter) builds an Agreement once, makes one `policy.Gateway(seed, agreement)` for
-each workload manager and calls its methods. Every call takes the time in whole microseconds first and returns
-plain tuples that start with one of the verbs below. Absent figures are zero; absent limits are None.
+A front (the service on sockets, the drill adapter) builds an Agreement once, makes one
+`policy.Gateway(seed, agreement)` for each workload manager and calls its methods. Every call takes the time
+in whole microseconds first and returns plain tuples that start with one of the verbs below. Absent figures are zero; absent limits are None.
 """
 
 from typing import NamedTuple
@@ -46,6 +46,7 @@
     kinds: frozenset | None
     loads: bool            # holds its data set on its engine while it runs
     stands_still: bool     # waits while a load holds its data set
+    name: str = ""         # for fronts only: what clients and engines call it
 
 
 class Tenant(NamedTuple):
@@ -53,6 +54,7 @@
 
     share: float
     allowance: float = 0.0   # commands a second inside its share, all gateways together; 0: not stated
+    name: str = ""           # for fronts only
 
 
 class Agreement(NamedTuple):
@@ -79,3 +81,12 @@
     extra_share: float
     extra_us: int
     crossing_costs: bool
+    # For fronts only: names by index, and the limits of connections.
+    locations: tuple = ()
+    kinds: tuple = ()
+    report_fields: tuple = ()   # the figures of a load report, in their order
+    note_us: int = 0            # between notes on a send that is out; 0: none
+    streams: int = 1            # sends that one connection to an engine carries
+    connect_us: int = 0
+    idle_us: int = 0            # after which an idle connection is closed by the engine
+    open_cap: int = 0           # commands owed or out at once; 0: no cap
--- /dev/null
+++ b/gullhold/net/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway on sockets: one module for each stage of a command. Nothing here decides."""
--- /dev/null
+++ b/gullhold/net/coordinator.py
@@ -0,0 +1,122 @@
+"""The coordinator: numbered changes of the list of engines, followed from the last one that we have."""
+
+import json
+import socket
+import time
+from zlib import crc32
+
+from loguru import logger
+
+from gullhold import interface as api
+from gullhold.agreement import place_of
+from gullhold.net import endings
+from gullhold.net.buffer import Buffer
+from gullhold.net.endings import Ending, Malformed
+
+STATES = {"ready": api.READY, "draining": api.DRAINING, "gone": api.GONE}
+SILENT_S = 3   # three of the seconds' numbers, which come once a second by the protocol
+
+
+class Names:
+    """Engines by name to numbers: a hash, so that every gateway numbers them alike."""
+
+    def __init__(self):
+        self.numbers, self.taken = {}, set()
+
+    def number(self, name):
+        """The number of an engine."""
+        if name not in self.numbers:
+            number = crc32(name.encode())
+            while number in self.taken:   # two names of one hash
+                number = number + 1 & 0xFFFFFFFF
+            self.numbers[name] = number
+            self.taken.add(number)
+        return self.numbers[name]
+
+
+def members(event, deal, names):
+    """(entries for the module, addresses by engine, whether the list is whole) of one event."""
+    try:
+        change = event["endpoints"]
+        entries, addresses = [], {}
+        for member in change["members"]:
+            ident = names.number(member["id"])
+            entries.append((ident, place_of(deal.locations, str(member.get("locality", ""))),
+                            float(member.get("size") or 1.0),
+                            place_of(deal.kinds, str(member.get("flavor", ""))),
+                            STATES[member["phase"]], int(member.get("cell") or 0),
+                            int(member.get("up_since_ms") or 0) * 1000))
+            if member.get("host_port"):
+                host, _, port = member["host_port"].rpartition(":")
+                addresses[ident] = f"{host}:{int(port)}"
+        return entries, addresses, bool(change.get("complete"))
+    except (KeyError, TypeError, ValueError, AttributeError) as fault:
+        raise Malformed(f"an event of another form: {fault!r}") from None
+
+
+class Follow:
+    """The stream's lines from bytes: fed, it yields the events that are new, in order."""
+
+    def __init__(self, last, most):
+        self.last, self.buffer = last, Buffer(most)
+
+    def events(self):
+        """The new events; a gap or a bad line is Malformed, after which the stream is asked for anew."""
+        while (end := self.buffer.find(b"\n")) >= 0:
+            line = self.buffer.peek(end)
+            self.buffer.drop(end + 1)
+            if not line.strip():
+                continue
+            try:
+                event = json.loads(line)
+                index = event if isinstance(event, int) else event["index"]
+                if not isinstance(index, int):
+                    raise ValueError("an index that is no number")
+            except (ValueError, KeyError, TypeError, RecursionError) as fault:
+                raise Malformed(f"a bad line: {fault!r}") from None
+            if index <= self.last:
+                continue
+            if isinstance(event, int) or index != self.last + 1:
+                raise Malformed(f"event {index} after {self.last}: some are missing")
+            yield event
+            self.last = index
+
+
+class Coordinator:
+    """Follows the stream, for ever, and hands each event to the core."""
+
+    def __init__(self, address, last, core, most, names):
+        host, _, port = address.rpartition(":")
+        self.address, self.last, self.core, self.most = (host, int(port)), last, core, most
+        self.names = names
+
+    def run(self):
+        """Connect, follow, and again whenever the stream ends, falls silent or makes no sense."""
+        wait = self.core.deal.connect_us / 1e6
+        while True:
+            began = time.monotonic()
+            ending, text = Ending.FAULT, ""
+            try:
+                ending = self._follow(wait)
+            except Malformed as fault:
+                ending, text = Ending.MALFORMED, str(fault)
+            except TimeoutError:
+                ending = Ending.SILENT
+            except OSError as error:
+                ending, text = endings.of_error(error, connecting=True), str(error)
+            except Exception:   # the old list holds; the stream is followed anew
+                logger.exception("coordinator stream failed")
+            self.core.counters.add(f"coordinator: {ending.value}")
+            logger.warning("coordinator: {} {}; following on from event {}", ending.value, text, self.last)
+            time.sleep(max(0.0, wait - (time.monotonic() - began)))
+
+    def _follow(self, wait):
+        with socket.create_connection(self.address, timeout=wait or None) as sock:
+            sock.settimeout(SILENT_S)
+            sock.sendall(b"follow %d\n" % self.last)
+            stream = Follow(self.last, self.most)
+            while stream.buffer.receive(sock):
+                for event in stream.events():
+                    self.core.list_changed(*members(event, self.core.deal, self.names))
+                    self.last = event["index"]
+            return Ending.CLOSED
--- /dev/null
+++ b/gullhold/net/core.py
@@ -0,0 +1,508 @@
+"""The one thread that owns the gateway: its events, its timers, and the carrying out of its results.
+
+Readers post events; nothing here waits for a socket. What runs, where and when is the module's to say.
+"""
+
+import time
+from collections import deque
+from heapq import heappop, heappush
+from math import ceil
+from queue import Empty, SimpleQueue
+
+from loguru import logger
+
+from gullhold import interface as api
+from gullhold.net import endings, resp, thrift
+from gullhold.net.endings import Ending, Malformed
+from gullhold.net.front import OPEN_MOST, RESULT_MOST
+from gullhold.net.links import Engine, Exchange, Link
+
+NOTES = {b"share": api.PROGRESS, b"short": api.SPILLS, b"held": api.WAITS}
+OUTCOMES = ("answered", "error", "full", "timed out", "no connection", "reset", "cancelled", "moot")
+ALIVE = b"alive"
+# From the protocol's page on planned restarts: new requests come for 0.6 s; the end comes 0.7 s after the
+# longest client timeout, of which 3 s at most count.
+LAST_NEWS_US, LAST_ANSWER_US, KILL_US = 600_000, 3_000_000, 700_000
+
+
+class Owed:
+    """A command that was taken: whom it is owed to (None once answered), and its send that is out."""
+
+    __slots__ = ("client", "grant", "number", "priority", "request", "send", "sends", "seq", "timeout_at")
+
+    def __init__(self, number, client, seq, request, timeout_at):
+        self.number, self.client, self.seq, self.request = number, client, seq, request
+        self.timeout_at, self.grant, self.priority, self.send, self.sends = timeout_at, 0.0, 1, None, 0
+
+
+class Core:
+    """Owns the gateway. Only run() and what it calls touch the fields; other threads use post()."""
+
+    def __init__(self, gateway, deal, counters, message_most, links_most):
+        self.gateway, self.deal, self.counters = gateway, deal, counters
+        self.message_most, self.links_most = message_most, links_most
+        self.queue, self.urgent, self.after, self.timers = SimpleQueue(), deque(), deque(), []
+        self.now, self.serial, self.timer_serial = self.clock(), 0, 0
+        self.owed, self.txns, self.engines, self.links = {}, {}, {}, set()
+        self.leaving_at, self.stopped, self.known = 0, False, False
+        self.sweep_us = max(deal.connect_us, 100_000)   # between looks at links: time to come up
+        self.silent_us = deal.note_us + self.sweep_us    # a link with a send out says something by then
+
+    @staticmethod
+    def clock():
+        """Unix time in whole microseconds."""
+        return time.time_ns() // 1000
+
+    def post(self, call, *args):
+        """From any thread: have the core make this call."""
+        self.queue.put((self.clock(), call, args))
+
+    def list_changed(self, entries, addresses, whole):
+        """From the coordinator's thread: goes ahead of all else that waits."""
+        self.urgent.append((entries, addresses, whole))
+        self.post(self._nothing)
+
+    # The loop
+
+    def run(self, known):
+        """Serve until told to leave and done."""
+        self._tick()
+        self._ask(None, self.gateway.start)
+        for change in known:
+            self._guarded(self._listed, *change)
+        self.known = True
+        self._later(self.now + self.sweep_us, self._sweep)
+        while not self.stopped:
+            self._step()
+
+    def _step(self):
+        wait = self.timers[0][0] - self.clock()   # the sweep always waits there
+        try:
+            posted, call, args = self.queue.get(timeout=wait / 1e6) if wait > 0 else self.queue.get_nowait()
+        except Empty:
+            posted = 0
+        self._tick()
+        while self.urgent:
+            self._guarded(self._listed, *self.urgent.popleft())
+        if posted:
+            self.counters.peak("events waiting", self.queue.qsize())
+            self.counters.peak("event late us", self.now - posted)
+            self._guarded(call, *args)
+        while self.timers and self.timers[0][0] <= self.now:
+            at, _, call, args = heappop(self.timers)
+            self.counters.peak("timer late us", self.now - at)
+            self._guarded(call, *args)
+
+    def _guarded(self, call, *args):
+        """A fault of ours in one event is logged and counted; the program goes on."""
+        try:
+            call(*args)
+            while self.after:
+                act, *args = self.after.popleft()
+                act(*args)
+        except Exception:
+            self.counters.add("faults of ours")
+            logger.exception("an event failed")
+
+    def _tick(self):
+        self.now = max(self.now, self.clock())   # the module never sees time go back
+
+    def _later(self, at, call, *args):
+        self.timer_serial += 1
+        heappush(self.timers, (at, self.timer_serial, call, args))
+
+    def _nothing(self):
+        pass
+
+    # The module
+
+    def _ask(self, cmd, call, *args):
+        """Call the module and carry out its results; if it fails, the command gets its one final answer."""
+        try:
+            results = call(self.now, *args)
+        except Exception:   # guards against one odd command taking all others down with it
+            self.counters.add("faults of the module")
+            logger.exception("the module failed in {}", call.__name__)
+            results = list(self.gateway.out)   # what it had decided until then holds
+            if cmd and cmd.client and not cmd.send:
+                results.append((api.FAIL, cmd.number))
+        for verb, *facts in results:
+            self.ACTIONS[verb](self, *facts)
+
+    def _act_send(self, number, engine, until):
+        cmd = self.owed.get(number)
+        if cmd is None:
+            return
+        send = Exchange(cmd, cmd.sends, self.now)
+        cmd.sends += 1
+        if cmd.send or not cmd.client or until <= self.now:
+            self.after.append((self._ask, cmd, self.gateway.ended, number, send.number, api.MOOT,
+                               not cmd.client, 0, 0, 0, ()))
+            return
+        cmd.send = send
+        link = self._link_for(engine, cmd.request.txn)
+        if link is None:
+            self.after.append((self._end_send, send, api.NO_CONNECTION))
+            return
+        facts = [(b"c", cmd.request.verb), (b"w", b"%d" % -((self.now - until) // 1000))]
+        if cmd.request.unique:
+            facts.append((b"i", cmd.request.unique))
+        if cmd.grant > 0 and self.deal.heeds_grants:
+            facts.append((b"mem", b"%d" % ceil(cmd.grant)))
+        if self.deal.heeds_priority:
+            facts.append((b"prio", b"%d" % cmd.priority))
+        send.message = resp.encode(b"fetch", cmd.request.txn, resp.field_list(facts), cmd.request.body)
+        send.link, link.used_at = link, self.now
+        link.open[cmd.request.txn] = send
+        send.offset = link.pipe.put(send.message)
+        if send.offset < 0:   # dead or backed up: nothing of it goes out
+            self.after.append((self._end_send, send, api.NO_CONNECTION))
+            return
+        self.counters.add("sends")
+        self._later(until, self._send_due, send)
+
+    def _act_terms(self, number, grant, priority):
+        cmd = self.owed.get(number)
+        if cmd is None:
+            return
+        if cmd.send and cmd.send.link and priority != cmd.priority and self.deal.heeds_priority:
+            cmd.send.link.pipe.put(resp.encode(b"renice", cmd.request.txn, b"%d" % priority))
+        cmd.grant, cmd.priority = grant, priority
+
+    def _act_cancel(self, number, send_no):
+        cmd = self.owed.get(number)
+        if cmd and cmd.send and cmd.send.number == send_no:
+            self._stop_send(cmd.send, api.CANCELLED)
+
+    def _act_shed(self, number, _come_back_us):
+        self._refuse(number, "shed", lambda cmd: thrift.shed(cmd.seq, {}))
+
+    def _act_fail(self, number):
+        self._refuse(number, "failed", lambda cmd: thrift.fault(cmd.seq, "failed"))
+
+    def _refuse(self, number, word, message):
+        cmd = self.owed.get(number)
+        if cmd and cmd.client:
+            self.counters.add(word)
+            self._answer(cmd, message(cmd))
+            if cmd.send:   # given up with the command
+                self._stop_send(cmd.send, api.CANCELLED)
+
+    def _act_timer(self, delay_us, token):
+        self._later(self.now + delay_us, self._ask, None, self.gateway.timer, token)
+
+    def _act_log(self, text):
+        logger.info("module: {}", text)
+
+    ACTIONS = {api.SEND: _act_send, api.TERMS: _act_terms, api.CANCEL: _act_cancel, api.SHED: _act_shed,
+               api.FAIL: _act_fail, api.TIMER: _act_timer, api.LOG: _act_log}
+
+    # Clients
+
+    def execute(self, client, seq, request, at):
+        """A client asks for a command."""
+        if seq in client.open:
+            client.settled += 1
+            client.fault = f"request {seq} is open already"
+            client.pipe.finish(now=True)
+            return
+        self.counters.add("taken")
+        self.serial += 1
+        cmd = Owed(self.serial, client, seq, request, at + request.limit_us)
+        client.open[seq] = cmd
+        if request.txn in self.txns:
+            self.counters.add("failed")
+            self._answer(cmd, thrift.fault(seq, "this txn is open already"))
+        elif 0 < self.deal.open_cap <= len(self.owed):
+            self.counters.add("over the open cap")
+            self._answer(cmd, thrift.shed(seq, {}))
+        else:
+            self.owed[cmd.number] = self.txns[request.txn] = cmd
+            self.counters.peak("owed", len(self.owed))
+            self._later(cmd.timeout_at, self._overdue, cmd)
+            self._ask(cmd, self.gateway.command, cmd.number, request.profile, request.tenant, request.key,
+                      cmd.timeout_at, request.work_us, request.need_mb, request.group, request.repeat)
+
+    def unusable(self, client, seq, message):
+        """A client asked for something that can't be used; its answer is ready."""
+        self.counters.add("taken")
+        self.counters.add("unusable")
+        client.settled += 1
+        if seq in client.open:
+            client.fault = f"request {seq} is open already"
+            client.pipe.finish(now=True)
+        elif client.pipe.put(message) < 0:
+            client.pipe.finish(now=True)
+
+    def check(self, client, seq):
+        """The front asks whether we serve: this answer comes from the thread that does."""
+        client.pipe.put(thrift.answer("check", seq, good=self.known and not self.leaving_at))
+
+    def interrupt(self, client, seq):
+        """A client stops waiting: no answer is owed."""
+        cmd = client.open.get(seq)
+        if cmd:
+            self.counters.add("interrupted")
+            self._gone(cmd)
+
+    def client_ended(self, client, ending, text):
+        """A client's connection can't be read any more; if it only half closed, what is open is still owed."""
+        text = client.fault or text
+        self.counters.add(f"client connection: {ending.value}")
+        log = logger.warning if ending in (Ending.MALFORMED, Ending.FAULT) or text else logger.debug
+        log("client connection {}: {}", ending.value, text)
+        if ending == Ending.CLOSED and client.open and not client.pipe.dead:
+            client.half = True
+            return
+        for cmd in list(client.open.values()):
+            self._gone(cmd)
+        client.pipe.finish(now=ending != Ending.CLOSED)
+
+    def _gone(self, cmd):
+        self._settle(cmd)
+        self._ask(cmd, self.gateway.client_gone, cmd.number)
+
+    def _answer(self, cmd, message):
+        client = cmd.client
+        if client.pipe.put(message) < 0:   # it does not read, or is gone: the connection ends
+            self.counters.add("answers that could not go")
+            client.pipe.finish(now=True)
+        self._settle(cmd)
+        if client.half and not client.open:
+            client.pipe.finish()
+
+    def _settle(self, cmd):
+        """Nothing is owed any more."""
+        cmd.client.open.pop(cmd.seq, None)
+        cmd.client.settled += 1
+        cmd.client = None
+        if not cmd.send:
+            self._forget(cmd)
+        if self.leaving_at and not self._owing():
+            self._later(self.now, self._leave_if_done)
+
+    def _forget(self, cmd):
+        if self.owed.pop(cmd.number, None):
+            self.txns.pop(cmd.request.txn, None)
+
+    def _owing(self):
+        return any(cmd.client for cmd in self.owed.values())
+
+    def _overdue(self, cmd):
+        """Guards the rule of one answer in time against any fault of ours: the module answers well before."""
+        if cmd.client:
+            self.counters.add("overdue")
+            logger.error("command {} was not answered in time", cmd.number)
+            self._act_fail(cmd.number)
+            self._ask(cmd, self.gateway.client_gone, cmd.number)
+
+    # Engines
+
+    def _listed(self, entries, addresses, whole):
+        """The list of engines changed."""
+        for ident, address in addresses.items():
+            engine = self.engines.setdefault(ident, Engine(ident, address))
+            if engine.address != address:   # links to where it was are not links to it
+                engine.address = address
+                for link in engine.links:
+                    link.retired = True
+        states = {entry[0]: entry[4] for entry in entries}
+        self.counters.add("list changes")
+        for engine in self.engines.values():
+            state = states.get(engine.id, api.GONE if whole else engine.state)
+            engine.state = state
+            if state != api.READY:   # what has not begun to go out must not go any more
+                for link in list(engine.links):
+                    for send in [send for send in link.open.values() if link.pipe.withdraw(send.message)]:
+                        self.after.append((self._end_send, send, api.MOOT))
+        self._ask(None, self.gateway.engines, entries, whole)
+
+    def _link_for(self, ident, txn):
+        """A link that can take a send of this id, a new one if need be; None where there can be none."""
+        engine = self.engines.get(ident)
+        if engine is None:
+            return None
+        fresh = [link for link in engine.links if link.takes(txn, self.deal.streams) and not self._idle(link)]
+        if fresh:
+            return max(fresh, key=lambda link: len(link.open))
+        if len(self.links) >= self.links_most:
+            self.spare_links()
+            self.counters.add("no descriptor for a link")
+            return None
+        link = Link(engine, self, self.message_most, OPEN_MOST * self.message_most, self.now)
+        try:
+            link.start()
+        except RuntimeError:   # no thread to be had
+            self.counters.add("no thread for a link")
+            return None
+        engine.links.append(link)
+        self.links.add(link)
+        self.counters.peak("links", len(self.links))
+        return link
+
+    def spare_links(self):
+        """Descriptors are short: idle links go."""
+        for link in self.links:
+            if not link.open and not link.ended:
+                link.shut(Ending.RETIRED)
+
+    def heard(self, link, arrays):
+        """An engine said something."""
+        link.heard_at, link.asked_at = self.now, 0
+        try:
+            for words in arrays:
+                if link.ended:
+                    return
+                self._word(link, words)
+        except (Malformed, ValueError) as fault:
+            self._drop_link(link, Ending.MALFORMED, str(fault))
+
+    def _word(self, link, words):
+        if len(words) < 2:
+            raise Malformed(f"an answer of {len(words)} words")
+        txn, word, facts, body = (*words, b"", b"")[:4]
+        send = link.open.get(txn)
+        if word == ALIVE:
+            return
+        if send is None:   # a late word on a send that was given up, or nothing of ours
+            self.counters.add("late or unknown answers")
+            if word in endings.WORDS:
+                link.given_up.discard(txn)
+            return
+        facts = resp.fields(facts)
+        if word == b"status":
+            if facts.get(b"note") in NOTES:
+                self.counters.add("notes")
+                self._ask(send.command, self.gateway.noted, send.command.number, send.number,
+                          NOTES[facts[b"note"]], float(facts.get(b"v", 0)))
+        elif word == b"200" and not send.pages:
+            send.facts, send.total = facts, max(1, int(facts.get(b"pages", 1)))
+            self._page(link, send, txn, body)
+        elif word == b"chunk" and send.pages and int(facts.get(b"page", -1)) == len(send.pages):
+            self._page(link, send, txn, body)
+        elif word in endings.WORDS and word != b"200":
+            self._end_send(send, endings.WORDS[word], facts)
+        else:
+            raise Malformed(f"{word!r} out of turn")
+
+    def _page(self, link, send, txn, body):
+        """One more page came; after the last the result goes to the client."""
+        send.pages.append(body)
+        send.size += len(body)
+        if send.size > RESULT_MOST or send.total > RESULT_MOST:
+            raise Malformed("a result of an absurd size")
+        if len(send.pages) < send.total:
+            link.pipe.put(resp.encode(b"more", txn, b"%d" % len(send.pages)))
+            return
+        if send.total > 1:
+            link.pipe.put(resp.encode(b"done", txn))
+        cmd = send.command
+        if cmd.client:
+            self.counters.add("answered")
+            message = thrift.answer("execute", cmd.seq, b"".join(send.pages))
+            self._answer(cmd, message)
+        self._end_send(send, api.ANSWERED, send.facts)
+
+    def _end_send(self, send, outcome, facts=None):
+        """A send is over: the module is told, once."""
+        cmd, link = send.command, send.link
+        if cmd.send is not send:
+            return
+        cmd.send = None
+        if link and link.open.get(cmd.request.txn) is send:
+            del link.open[cmd.request.txn]
+            link.used_at = self.now
+        send.message, send.pages = b"", ()
+        self.counters.add(f"sends {OUTCOMES[outcome]}")
+        facts = facts or {}
+        cost, need = (float(facts.get(name, 0)) for name in (b"cost", b"need"))
+        closed = cmd.client is None
+        if closed:
+            self._forget(cmd)
+        self._ask(cmd, self.gateway.ended, cmd.number, send.number, outcome, closed, self.now - send.sent_at,
+                  int(cost * 1000), need, self._report(facts.get(b"load", b"")))
+
+    def _report(self, text):
+        """The load report in the settings' order; absent where none came."""
+        told = dict(pair.partition(b":")[::2] for pair in text.split(b";")) if text else {}
+        return tuple(float(told.get(name.encode(), 0)) for name in self.deal.report_fields) if told else ()
+
+    def _stop_send(self, send, outcome):
+        """Give a send up: taken back if none of it has gone, else the engine is told."""
+        link, txn = send.link, send.command.request.txn
+        if link and link.open.get(txn) is send:
+            if link.pipe.withdraw(send.message):
+                outcome = api.MOOT
+            else:
+                link.pipe.put(resp.encode(b"done" if send.pages else b"abort", txn))
+                link.given_up.add(txn)
+                link.retired = link.retired or len(link.given_up) >= self.deal.streams
+            del link.open[txn]
+        self.after.append((self._end_send, send, outcome))
+
+    def _send_due(self, send):
+        if send.command.send is send:
+            self._stop_send(send, api.TIMED_OUT)
+
+    def _drop_link(self, link, ending, text=""):
+        link.shut(ending)
+        self.link_ended(link, ending, text)
+
+    def link_ended(self, link, ending, text):
+        """A link is over, however that came; so are its sends."""
+        if link.ended:
+            return
+        link.ended = True
+        self.links.discard(link)
+        link.engine.links.remove(link)
+        self.counters.add(f"link: {ending.value}")
+        routine = ending in (Ending.IDLE, Ending.RETIRED) or ending == Ending.CLOSED and not link.open
+        (logger.debug if routine else logger.warning)(
+            "link to {} {} {}; {} sends open", link.engine.address, ending.value, text, len(link.open))
+        for send in list(link.open.values()):
+            self._end_send(send, endings.outcome(link.pipe.whole(send.offset)))
+
+    def _idle(self, link):
+        """Whether the engine may be about to close it for idleness: we close first."""
+        return not link.open and 0 < self.deal.idle_us < self.now - link.used_at + 2 * self.sweep_us
+
+    def _sweep(self):
+        """Links that fell silent, links no longer needed."""
+        self._later(self.now + self.sweep_us, self._sweep)
+        for link in list(self.links):
+            if link.sock is None:
+                continue
+            if not link.open:
+                if link.retired or link.engine.state != api.READY:
+                    link.shut(Ending.RETIRED)
+                elif self._idle(link):
+                    link.shut(Ending.IDLE)
+            elif self.now - max(link.heard_at, min(s.sent_at for s in link.open.values())) >= self.silent_us:
+                # Guards against a machine that vanished or was cut off: such a link stays open and says nothing.
+                if not link.asked_at:
+                    link.asked_at = self.now
+                    link.pipe.put(resp.encode(ALIVE, ALIVE))
+                elif self.now - link.asked_at >= self.silent_us:
+                    self._drop_link(link, Ending.SILENT)
+
+    # Leaving
+
+    def leave(self):
+        """A planned restart: serve what comes and is open, then end."""
+        if self.leaving_at:
+            return
+        self.leaving_at = self.now
+        logger.info("leaving: {} commands open", len(self.owed))
+        longest = max((profile.timeout_us for profile in self.deal.profiles), default=0)
+        self._later(self.now + LAST_NEWS_US, self._leave_if_done)
+        self._later(self.now + min(longest, LAST_ANSWER_US), self._leave_now)
+
+    def _leave_if_done(self):
+        if self.now >= self.leaving_at + LAST_NEWS_US and not self._owing():
+            self.stopped = True
+
+    def _leave_now(self):
+        """What is still open is answered before the kill."""
+        for cmd in [cmd for cmd in self.owed.values() if cmd.client]:
+            self._act_fail(cmd.number)
+        self._later(self.now, self._leave_if_done)
--- /dev/null
+++ b/gullhold/net/endings.py
@@ -0,0 +1,46 @@
+"""Every way in which a connection ends, and what that, or an engine's word, is to the decision module."""
+
+from enum import Enum
+
+from gullhold import interface as api
+
+
+class Malformed(Exception):
+    """Bytes that the protocol does not allow."""
+
+
+class Ending(Enum):
+    """How a connection ended; the text is what staff read."""
+
+    REFUSED = "refused"
+    NOT_UP = "not up in time"
+    UNREACHABLE = "unreachable"
+    CLOSED = "closed by the other side"
+    RESET = "reset"
+    MALFORMED = "malformed bytes"
+    SILENT = "silent: no word, not even an alive"
+    BACKED_UP = "other side does not read"
+    IDLE = "idle, closed by us"
+    RETIRED = "no longer needed, closed by us"
+    FAULT = "fault of ours"
+    LEAVING = "we are leaving"
+
+
+# Words of engines that end a send; "full" and "over already" prove that it never ran.
+WORDS = {b"200": api.ANSWERED, b"503": api.FULL, b"500": api.ERROR, b"504": api.MOOT}
+
+
+def outcome(whole):
+    """What the end of a link, however it came, is to a send: one that never went out whole never ran."""
+    return api.RESET if whole else api.NO_CONNECTION
+
+
+def of_error(error, connecting=False):
+    """The ending that an operating system's error stands for."""
+    if isinstance(error, ConnectionRefusedError):
+        return Ending.REFUSED
+    if isinstance(error, TimeoutError | BlockingIOError):
+        return Ending.NOT_UP if connecting else Ending.IDLE
+    if isinstance(error, ConnectionError):
+        return Ending.RESET
+    return Ending.UNREACHABLE if connecting else Ending.RESET
--- /dev/null
+++ b/gullhold/net/links.py
@@ -0,0 +1,94 @@
+"""Engine links: one connection to an engine, its thread, and the exchanges that are open on it."""
+
+import socket
+from contextlib import suppress
+from threading import Thread
+
+from loguru import logger
+
+from gullhold.net import endings, resp
+from gullhold.net.endings import Ending
+from gullhold.net.pipe import Pipe
+
+
+class Engine:
+    """An engine by its identity, where it listens, and our links to it."""
+
+    def __init__(self, ident, address):
+        self.id, self.address, self.links, self.state = ident, address, [], 0
+
+
+class Exchange:
+    """One send on its link, from its fetch to its last page."""
+
+    def __init__(self, command, number, at):
+        self.command, self.number, self.sent_at = command, number, at
+        self.link, self.message, self.offset = None, b"", 0
+        self.pages, self.total, self.size, self.facts = [], 0, 0, {}
+
+
+class Link:
+    """One connection. The core alone touches open, given_up and the times; the thread connects and reads."""
+
+    def __init__(self, engine, core, most, pipe_most, now):
+        self.engine, self.core = engine, core
+        self.decoder, self.pipe = resp.Decoder(most), Pipe(pipe_most, core.counters)
+        self.open, self.given_up, self.ended, self.retired = {}, set(), False, False
+        self.heard_at, self.used_at, self.asked_at, self.sock, self.ending = now, now, 0, None, None
+        host, _, port = engine.address.rpartition(":")
+        self.address = (host, int(port))
+
+    def start(self):
+        """Connect and read, in a thread of its own."""
+        Thread(target=self._run, daemon=True, name="link").start()
+
+    def takes(self, txn, streams):
+        """Whether a send of this id may go out here: a late answer to an earlier one must not meet it."""
+        return not (self.ended or self.retired) and len(self.open) < streams and txn not in self.given_up
+
+    def shut(self, ending):
+        """End it from our side; the reader wakes and reports."""
+        self.retired, self.ending = True, self.ending or ending
+        if self.sock is not None:
+            with suppress(OSError):
+                self.sock.shutdown(socket.SHUT_RDWR)
+
+    def _run(self):
+        ending, text, core = Ending.FAULT, "", self.core
+        sock = None
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+            sock.settimeout(core.deal.connect_us / 1e6 or None)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            try:
+                sock.connect(self.address)
+            except OSError as error:
+                ending, text = endings.of_error(error, connecting=True), str(error)
+                return
+            sock.settimeout(None)
+            self.sock = sock
+            if self.ending:
+                ending = self.ending
+                return
+            core.counters.add("links up")
+            self.pipe.attach(sock)
+            ending = self._read(sock)
+        except endings.Malformed as fault:
+            ending, text = Ending.MALFORMED, str(fault)
+        except OSError as error:
+            ending, text = endings.of_error(error), str(error)
+        except Exception:   # a fault of ours ends this link, not the program
+            logger.exception("link reader failed")
+        finally:
+            self.pipe.finish(now=True)
+            if sock is not None:
+                sock.close()
+            core.post(core.link_ended, self, self.ending or ending, text)
+
+    def _read(self, sock):
+        while True:
+            if not self.decoder.buffer.receive(sock):
+                return Ending.CLOSED
+            arrays = list(self.decoder.arrays())
+            if arrays:
+                self.core.post(self.core.heard, self, arrays)
