--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -246,7 +246,7 @@
             self._gone(cmd)
 
     def client_ended(self, client, ending, text):
-        """A client's connection can't be read any more; if it only half closed, what is open is still owed."""
+        """A client's connection can't be read any more; if only half closed, what is open is still owed."""
         text = client.fault or text
         self.counters.add(f"client connection: {ending.value}")
         log = logger.warning if ending in (Ending.MALFORMED, Ending.FAULT) or text else logger.debug
@@ -478,7 +478,7 @@
                 elif self._idle(link):
                     link.shut(Ending.IDLE)
             elif self.now - max(link.heard_at, min(s.sent_at for s in link.open.values())) >= self.silent_us:
-                # Guards against a machine that vanished or was cut off: such a link stays open and says nothing.
+                # Guards against a machine that vanished or was cut off: its links stay open and silent.
                 if not link.asked_at:
                     link.asked_at = self.now
                     link.pipe.put(resp.encode(ALIVE, ALIVE))
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -42,7 +42,8 @@
         limits = told.get("limits") or {}
         return {"deal": deal, "names": names, "changes": changes, "last": int(known.get("index", 0)),
                 "seed": int(str(told.get("seed", "0")), 16), "coordinator": told.get("coordinator"),
-                "listen": os.environ.get("GW_LISTEN") or told["listen"], "name": told.get("name", ""),
+                "listen": os.environ.get("GW_LISTEN") or told["listen"],
+                "name": told.get("name", ""),
                 "memory": int(limits.get("memory_mb", 192)) << 20, "sockets": int(limits.get("sockets", 1024))}
     except (OSError, ValueError, KeyError, TypeError, AttributeError, Malformed) as fault:
         raise Unusable(f"configuration {path}: {fault!r}") from None
