--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -41,16 +41,18 @@
         changes = [members(event, deal, names) for event in known.get("updates", ())]
         limits = told.get("limits") or {}
         return {"deal": deal, "names": names, "changes": changes, "last": int(known.get("index", 0)),
-                "seed": int(str(told.get("seed", "0")), 16), "coordinator": told.get("coordinator"),
+                "seed": int(str(told.get("seed", "0")), 16),
+                "coordinator": told.get("coordinator"),
                 "listen": os.environ.get("GW_LISTEN") or told["listen"],
                 "name": told.get("name", ""),
-                "memory": int(limits.get("memory_mb", 192)) << 20, "sockets": int(limits.get("sockets", 1024))}
+                "memory": int(limits.get("memory_mb", 192)) << 20,
+                "sockets": int(limits.get("sockets", 1024))}
     except (OSError, ValueError, KeyError, TypeError, AttributeError, Malformed) as fault:
         raise Unusable(f"configuration {path}: {fault!r}") from None
 
 
-def serve(path):
-    """Serve until SIGTERM; the exit status."""
+def serve(path, report_s=0):
+    """Serve until SIGTERM, with the counters logged so often (0: only at the end); the exit status."""
     logger.remove()
     logger.add(sys.stderr, level=os.environ.get("GULLHOLD_LOG", "INFO"),
                format="{time:HH:mm:ss.SSS} {level} {message}")
@@ -77,9 +79,8 @@
         done.set()
 
     def report(*_):
-        for line in [f"up {time.monotonic() - began:.1f} s, CPU {time.process_time():.2f} s", *resident(),
-                     *counters.lines()]:
-            logger.info("counter {}", line)
+        logger.info("counters: {}", "; ".join([f"up {time.monotonic() - began:.1f} s",
+                    f"CPU {time.process_time():.2f} s", *resident(), *counters.lines()]))
 
     signal.signal(signal.SIGTERM, lambda *_: core.post(core.leave))
     signal.signal(signal.SIGINT, lambda *_: core.post(core.leave))
@@ -92,7 +93,8 @@
         Thread(target=follow.run, daemon=True, name="coordinator").start()
     Thread(target=door.run, daemon=True, name="door").start()
     logger.info("serving {} on {}", told["name"], told["listen"])
-    done.wait()
+    while not done.wait(report_s or None):
+        report()
     time.sleep(FLUSH_S)
     report()
     return 0
