Leaving in time: the module's give_up ends what is open before the kill; faults end one command

After SIGTERM what is open would have been lost at the kill (long commands live 25 s, the kill comes after 3.7 s). The module now has give_up, which gives the final answer that its profile allows; the front stops the send beside it. It also answers for a command on which the module failed, and for one that is overdue.

--- a/gullhold/drill/host.py
+++ b/gullhold/drill/host.py
@@ -50,8 +50,8 @@
         _, seed, size = frames.NEW_INSTANCE.unpack_from(fields)
         at = frames.NEW_INSTANCE.size
         text = bytes(fields[at:at + size]).decode("utf-8", "replace")
-        self.gateways[who] = policy.Gateway(seed, agreement.read(agreement.tree_of(text)))
-        return self.gateways[who].start(self.now)
+        self.gateways[who] = policy.Gateway(seed, agreement.read(agreement.tree_of(text)), self.now)
+        return ()
 
     def _announce(self, who, fields):
         _, number, _, scope = frames.ANNOUNCE.unpack_from(fields)
--- a/gullhold/interface.py
+++ b/gullhold/interface.py
@@ -1,9 +1,9 @@
 """What the decision module and its fronts share: what a deployment agreed to, and the verbs of results.
 
 A front (the service on sockets, the drill adapter) builds an Agreement once, makes one
-`policy.Gateway(seed, agreement)` for each workload manager and calls its methods. Every call takes the time
-in whole microseconds first and returns plain tuples that start with one of the verbs below.
-Absent figures are zero; absent limits are None.
+`policy.Gateway(seed, agreement, now)` for each workload manager and calls its methods. Every call takes the
+time in whole microseconds first and returns plain tuples that start with one of the verbs below. Absent
+figures are zero; absent limits are None.
 """
 
 from typing import NamedTuple
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -21,8 +21,8 @@
 OUTCOMES = ("answered", "error", "full", "timed out", "no connection", "reset", "cancelled", "moot")
 ALIVE = b"alive"
 # From the protocol's page on planned restarts: new requests come for 0.6 s; the end comes 0.7 s after the
-# longest client timeout, of which 3 s at most count.
-LAST_NEWS_US, LAST_ANSWER_US, KILL_US = 600_000, 3_000_000, 700_000
+# longest client timeout, of which 3 s at most count. Half of the rest is left for answers still in pipes.
+LAST_NEWS_US, LAST_ANSWER_US, FLUSH_US = 600_000, 3_000_000, 350_000
 
 
 class Owed:
@@ -44,7 +44,7 @@
         self.queue, self.urgent, self.after, self.timers = SimpleQueue(), deque(), deque(), []
         self.now, self.serial, self.timer_serial = self.clock(), 0, 0
         self.owed, self.txns, self.engines, self.links = {}, {}, {}, set()
-        self.leaving_at, self.stopped, self.known = 0, False, False
+        self.leaving_at, self.settled_at, self.stopped, self.known = 0, 0, False, False
         self.sweep_us = max(deal.connect_us, 100_000)   # between looks at links: time to come up
         self.silent_us = deal.note_us + self.sweep_us    # a link with a send out says something by then
 
@@ -67,7 +67,6 @@
     def run(self, known):
         """Serve until told to leave and done."""
         self._tick()
-        self._ask(None, self.gateway.start)
         for change in known:
             self._guarded(self._listed, *change)
         self.known = True
@@ -118,6 +117,7 @@
 
     def _ask(self, cmd, call, *args):
         """Call the module and carry out its results; if it fails, the command gets its one final answer."""
+        self.gateway.out = []   # of a call that fails only its own results hold
         try:
             results = call(self.now, *args)
         except Exception:   # guards against one odd command taking all others down with it
@@ -125,7 +125,10 @@
             logger.exception("the module failed in {}", call.__name__)
             results = list(self.gateway.out)   # what it had decided until then holds
             if cmd and cmd.client and not cmd.send:
-                results.append((api.FAIL, cmd.number))
+                self.after.append((self._give_up, cmd))
+        self._obey(results)
+
+    def _obey(self, results):
         for verb, *facts in results:
             self.ACTIONS[verb](self, *facts)
 
@@ -141,8 +144,8 @@
             return
         cmd.send = send
         link = self._link_for(engine, cmd.request.txn)
-        if link is None:
-            self.after.append((self._end_send, send, api.NO_CONNECTION))
+        if link is None:   # told as late as a connection that does not come up: no spinning on the same want
+            self._later(self.now + self.deal.connect_us, self._end_send, send, api.NO_CONNECTION)
             return
         facts = [(b"c", cmd.request.verb), (b"w", b"%d" % -((self.now - until) // 1000))]
         if cmd.request.unique:
@@ -156,6 +159,7 @@
         link.open[cmd.request.txn] = send
         send.offset = link.pipe.put(send.message)
         if send.offset < 0:   # dead or backed up: nothing of it goes out
+            link.retired = True
             self.after.append((self._end_send, send, api.NO_CONNECTION))
             return
         self.counters.add("sends")
@@ -268,6 +272,9 @@
             self.counters.add("answers that could not go")
             client.pipe.finish(now=True)
         self._settle(cmd)
+        if client.half and client.pipe.dead:   # no reader is left to tell that the client is gone
+            for other in list(client.open.values()):
+                self._gone(other)
         if client.half and not client.open:
             client.pipe.finish()
 
@@ -275,26 +282,31 @@
         """Nothing is owed any more."""
         cmd.client.open.pop(cmd.seq, None)
         cmd.client.settled += 1
-        cmd.client = None
+        cmd.client, self.settled_at = None, self.now
         if not cmd.send:
             self._forget(cmd)
-        if self.leaving_at and not self._owing():
-            self._later(self.now, self._leave_if_done)
 
     def _forget(self, cmd):
         if self.owed.pop(cmd.number, None):
             self.txns.pop(cmd.request.txn, None)
 
-    def _owing(self):
-        return any(cmd.client for cmd in self.owed.values())
-
     def _overdue(self, cmd):
         """Guards the rule of one answer in time against any fault of ours: the module answers well before."""
         if cmd.client:
             self.counters.add("overdue")
             logger.error("command {} was not answered in time", cmd.number)
+            self._give_up(cmd)
+
+    def _give_up(self, cmd):
+        """The command must end now: the final answer is the module's, else a failure: no promise."""
+        if cmd.client:
+            try:
+                results = self.gateway.give_up(self.now, cmd.number)
+            except Exception:   # guards against a module that fails on this command again
+                logger.exception("the module failed in give_up")
+                results = []
+            self._obey(results)
             self._act_fail(cmd.number)
-            self._ask(cmd, self.gateway.client_gone, cmd.number)
 
     # Engines
 
@@ -460,7 +472,7 @@
         (logger.debug if routine else logger.warning)(
             "link to {} {} {}; {} sends open", link.engine.address, ending.value, text, len(link.open))
         for send in list(link.open.values()):
-            self._end_send(send, endings.outcome(link.pipe.whole(send.offset)))
+            self._end_send(send, endings.outcome(0 < send.offset <= link.pipe.written))
 
     def _idle(self, link):
         """Whether the engine may be about to close it for idleness: we close first."""
@@ -498,11 +510,12 @@
         self._later(self.now + min(longest, LAST_ANSWER_US), self._leave_now)
 
     def _leave_if_done(self):
-        if self.now >= self.leaving_at + LAST_NEWS_US and not self._owing():
+        if self.now >= self.settled_at + FLUSH_US and not any(cmd.client for cmd in self.owed.values()):
             self.stopped = True
+        else:
+            self._later(self.now + FLUSH_US // 4, self._leave_if_done)
 
     def _leave_now(self):
         """What is still open is answered before the kill."""
         for cmd in [cmd for cmd in self.owed.values() if cmd.client]:
-            self._act_fail(cmd.number)
-        self._later(self.now, self._leave_if_done)
+            self._give_up(cmd)
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -21,7 +21,6 @@
 STACK = 256 * 1024   # bytes of address space a thread; only what is touched counts as memory
 SWITCH_S = 0.001     # the longest that one thread keeps another waiting: under any network time that matters
 OWN_SOCKETS = 16     # descriptors beside clients and links: standard ones, listener, coordinator, spare
-FLUSH_S = 0.3        # at the end, for answers still in pipes: under what remains before the kill
 
 
 class Unusable(Exception):
@@ -51,53 +50,60 @@
         raise Unusable(f"configuration {path}: {fault!r}") from None
 
 
+def assemble(told):
+    """The core, and what its other long-lived threads run, by name; the listener is open afterwards."""
+    deal = told["deal"]
+    most = told["memory"] // told["sockets"]   # an even part of the memory for each connection's messages
+    core = Core(policy.Gateway(told["seed"], deal, Core.clock()), deal, Counters(), most,
+                told["sockets"] - told["sockets"] // 3 - OWN_SOCKETS)   # clients hold a third at most
+    try:
+        runs = {"door": Door(told["listen"], core, deal, most, told["sockets"]).run}
+    except (OSError, ValueError) as fault:
+        raise Unusable(f"can't listen on {told['listen']}: {fault}") from None
+    if told["coordinator"]:
+        runs["coordinator"] = Coordinator(told["coordinator"], told["last"], core, most, told["names"]).run
+    return core, runs
+
+
 def serve(path, report_s=0):
     """Serve until SIGTERM, with the counters logged so often (0: only at the end); the exit status."""
     logger.remove()
     logger.add(sys.stderr, level=os.environ.get("GULLHOLD_LOG", "INFO"),
                format="{time:HH:mm:ss.SSS} {level} {message}")
     try:
-        told = load(path)
-        counters, deal = Counters(), told["deal"]
         threading.stack_size(STACK)
         sys.setswitchinterval(SWITCH_S)
-        most = told["memory"] // told["sockets"]   # an even part of the memory for each connection's messages
-        clients = told["sockets"] // 3
-        core = Core(policy.Gateway(told["seed"], deal), deal, counters, most,
-                    told["sockets"] - clients - OWN_SOCKETS)
-        try:
-            door = Door(told["listen"], core, deal, most, told["sockets"])
-        except (OSError, ValueError) as fault:
-            raise Unusable(f"can't listen on {told['listen']}: {fault}") from None
+        told = load(path)
+        core, runs = assemble(told)
     except Unusable as fault:
         print(f"gullhold: {fault}", file=sys.stderr)
         return 2
     done, began = Event(), time.monotonic()
 
     def run_core():
-        core.run(told["changes"])
-        done.set()
+        try:
+            core.run(told["changes"])
+        finally:
+            done.set()   # a gateway without its core must not live on
+
+    runs["core"] = run_core
 
     def report(*_):
         logger.info("counters: {}", "; ".join([f"up {time.monotonic() - began:.1f} s",
-                    f"CPU {time.process_time():.2f} s", *resident(), *counters.lines()]))
+                    f"CPU {time.process_time():.2f} s", *resident(), *core.counters.lines()]))
 
     signal.signal(signal.SIGTERM, lambda *_: core.post(core.leave))
     signal.signal(signal.SIGINT, lambda *_: core.post(core.leave))
     signal.signal(signal.SIGUSR1, lambda *_: Thread(target=report, daemon=True).start())
     gc.collect()
     gc.freeze()   # what lives to the end need not be looked through again
-    Thread(target=run_core, name="core", daemon=True).start()
-    if told["coordinator"]:
-        follow = Coordinator(told["coordinator"], told["last"], core, most, told["names"])
-        Thread(target=follow.run, daemon=True, name="coordinator").start()
-    Thread(target=door.run, daemon=True, name="door").start()
+    for name, run in runs.items():
+        Thread(target=run, name=name, daemon=True).start()
     logger.info("serving {} on {}", told["name"], told["listen"])
     while not done.wait(report_s or None):
         report()
-    time.sleep(FLUSH_S)
     report()
-    return 0
+    return 0 if core.stopped else 1
 
 
 def resident():
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -1,7 +1,7 @@
 """All decisions of the gateway: what runs, where, when, with how much memory and at which priority.
 
-A front makes one Gateway(seed, agreement) for each workload manager and calls its public methods, each with
-the time in whole microseconds. gullhold/interface.py defines the Agreement and the tuples that come back.
+A front makes one Gateway(seed, agreement, now) for each workload manager and calls its public methods, each
+with the time in whole microseconds. gullhold/interface.py defines the Agreement and the tuples that return.
 """
 
 from collections import deque
@@ -56,8 +56,7 @@
         self.id, self.profile, self.kind, self.tenant, self.key = ident, profile, kind, tenant, key
         self.need, self.dataset, self.order, self.entry, self.state = need, dataset, order, 0, BEHIND
         self.last_at, self.threads = timeout_at - MARGIN_US, kind.threads   # after last_at nothing is started
-        self.sends, self.engine, self.sent_at, self.ran_engine, self.ran_at = 0, -1, 0, -1, 0
-        self.done = 0.0
+        self.sends, self.engine, self.sent_at, self.ran_engine, self.ran_at, self.done = 0, -1, 0, -1, 0, 0.0
 
 
 def mix(one, other):
@@ -89,9 +88,9 @@
 class Gateway:
     """The decisions of one workload manager."""
 
-    def __init__(self, seed, agreement):
+    def __init__(self, seed, agreement, now):
         self.deal, self.draw = agreement, Random(seed).random
-        self.out, self.now, self.order, self.ready_cores, self.usual_failed = [], 0, 0, 0.0, 0.0
+        self.out, self.now, self.order, self.ready_cores, self.usual_failed = [], now, 0, 0.0, 0.0
         self.commands, self.due = {}, []             # by id while owed or out; (time, order, command, sends)
         # (Engine, data set): until when a load holds it. Data set: engines by rank, and commands, fading.
         self.closed, self.ranks, self.asked, self.asked_all = {}, {}, {}, 0.0
@@ -108,21 +107,15 @@
         self.released, self.quota = [0.0] * len(self.weight), [0] * len(self.weight)
         self.latency = [[0.0, 0.0, 0.0] for _ in self.weight]
         self.allowance = sum(t.allowance for t in agreement.tenants)   # what our traffic is measured against
-        self.traffic, self.traffic_at = self.allowance / agreement.managers * TRAFFIC_US / 1e6, 0
+        self.traffic, self.traffic_at = self.allowance / agreement.managers * TRAFFIC_US / 1e6, now
         self.part, self.slow, self.total, self.armed = 1.0, 1.0, 0, None
         self.zeta, self.rose, self.turn = QUOTA[1], False, 0
         self.index, self.ids, self.ready, self.near = {}, [], [], []
         vars(self).update({name: [] for name in ENGINE})   # parallel arrays under the dense index
 
-    def start(self, now):
-        """The instance begins."""
-        self.now = self.traffic_at = now
-        return []
-
     def engines(self, now, entries, full):
         """The list of engines changed; full: engines that are not in it are gone."""
-        self.now, self.out = now, []
-        seen = set()
+        self.now, self.out, seen = now, [], set()
         for ident, place, _, kind, state, cell, born in entries:
             be = self.index.setdefault(ident, len(self.ids))
             seen.add(be)
@@ -191,8 +184,7 @@
 
     def ended(self, now, ident, send, outcome, closed, latency, cost, need, report):
         """A send ended."""
-        self.now, self.out = now, []
-        cmd = self.commands.get(ident)
+        self.now, self.out, cmd = now, [], self.commands.get(ident)
         if cmd is None or send != cmd.sends - 1 or cmd.state not in (OUT, STREAMING, LEAVING, ORPHAN):
             return self.out
         be, state = cmd.engine, cmd.state
@@ -211,18 +203,26 @@
 
     def client_gone(self, now, ident):
         """The client left; a send that is still out is stopped."""
-        self.now, self.out = now, []
-        cmd = self.commands.get(ident)
+        self.now, self.out, cmd = now, [], self.commands.get(ident)
         if cmd and cmd.state == OUT and self.deal.may_cancel:
             self.out.append((api.CANCEL, ident, cmd.sends - 1))
         if cmd and cmd.state != ORPHAN:
             self._move(cmd, ENDED if cmd.state in (HELD, BEHIND) else ORPHAN)
         return self._release()
 
+    def give_up(self, now, ident):
+        """The front must end this command now: its final answer, also while a send is out."""
+        self.now, self.out, cmd = now, [], self.commands.get(ident)
+        if cmd and cmd.state in (HELD, BEHIND, OUT, LEAVING):
+            out = cmd.state in (OUT, LEAVING)
+            if out and cmd.ran_engine < 0:
+                cmd.ran_engine, cmd.ran_at = cmd.engine, cmd.sent_at
+            self._finish(cmd, ORPHAN if out else ENDED)
+        return self.out
+
     def timer(self, now, token):
         """A moment at which something is due, or at which held commands are to be looked at."""
-        self.now, self.out = now, []
-        self.armed = None if token == self.armed else self.armed
+        self.now, self.out, self.armed = now, [], None if token == self.armed else self.armed
         while self.due and self.due[0][0] <= now:
             _, _, cmd, sends = heappop(self.due)
             if cmd.state in (HELD, BEHIND):
@@ -296,12 +296,12 @@
         elif self.now + fresh <= cmd.until:
             heappush(self.due, (int(self.now + RUNS[0] * fresh) + 1, cmd.order, cmd, cmd.sends))
 
-    def _finish(self, cmd):
+    def _finish(self, cmd, to=ENDED):
         """The final answer: shed where trying again does no harm, else failed."""
         may = cmd.kind.effect == api.REPLAYABLE or cmd.ran_engine < 0 or (cmd.kind.effect == api.UNIQUED and
             cmd.kind.dedup_scope == api.ALL and self.now < cmd.ran_at + cmd.kind.dedup_us)
         self.out.append((api.SHED, cmd.id, self.deal.come_back_us) if may else (api.FAIL, cmd.id))
-        self._move(cmd, ENDED)
+        self._move(cmd, to)
         return self.out
 
     def _may_resend(self, cmd):
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -34,10 +34,9 @@
 
     def __init__(self, deal, seed=1):
         self.deal, self.now = deal, START
-        self.gateway = Gateway(seed, deal)
+        self.gateway = Gateway(seed, deal, self.now)
         self.fleet, self.commands, self.lines, self.log = {}, {}, {}, []
         self.rest, self.extras, self.taken, self.cold, self.timers, self.serial = {}, [], [], {}, [], 0
-        self.obey(self.gateway.start(self.now))
 
     def engines(self, *entries, full=False):
         """Tell of (id, location, kind, state, cell, started_us) entries."""
@@ -82,6 +81,18 @@
         self.commands[ident]["over"] = True
         self.obey(self.gateway.client_gone(self.now, ident))
 
+    def give_up(self, ident):
+        """The front must end a command now; a send that is out is stopped."""
+        cmd = self.commands[ident]
+        out, cmd["out"] = cmd["out"], None   # the front stops it beside the answer
+        if out and cmd["ran"] is None:
+            cmd["ran"] = out[:2]
+        self.obey(self.gateway.give_up(self.now, ident))
+        assert cmd["over"], "no final answer"
+        if out:
+            cmd["out"] = out
+            self.end(ident, api.CANCELLED)
+
     def out(self):
         """Ids with a send that is out."""
         return [ident for ident, cmd in self.commands.items() if cmd["out"]]
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -11,7 +11,7 @@
 from gullhold.policy import fit_bound
 
 READY4 = [(ident, ident % 2, ident % 2, api.READY, ident % 3, 0) for ident in range(4)]
-STEP = st.tuples(st.integers(0, 11), st.integers(0, 9999))
+STEP = st.tuples(st.integers(0, 12), st.integers(0, 9999))
 DEALS = [
     agreement(profile(), profile(effect=api.NON_REPLAYABLE, threads=3),
               profile(effect=api.UNIQUED, dedup_scope=api.LOCATION, target_us=2000 * MS),
@@ -41,6 +41,10 @@
                           full=number % 11 == 0)
         elif kind == 9 and out:
             world.leave(out[number % len(out)])
+        elif kind == 10:
+            owed = [ident for ident, cmd in world.commands.items() if not cmd["over"]]
+            if owed:
+                world.give_up(owed[number % len(owed)])
         else:
             world.wait(number % 700 * MS)
     world.wait(5000 * MS)
@@ -313,3 +317,15 @@
     assert all(world.commands[one]["out"][0] != engine for one in [ident, *after])
     world.gateway.now += 30_000 * MS
     assert world.gateway.failed[engine] * world.gateway._fresh(world.gateway.failed_at[engine]) < 0.05
+
+
+def test_giving_up_a_send_that_may_have_run_promises_nothing_for_a_non_replayable_command():
+    """A front that must leave ends what is out: shed only where trying again does no harm."""
+    for effect, verb in ((api.NON_REPLAYABLE, api.FAIL), (api.REPLAYABLE, api.SHED), (api.UNIQUED, api.SHED)):
+        world = Driver(agreement(profile(effect=effect)))
+        world.engines(*READY4[:1])
+        ident = world.command()
+        assert world.out() == [ident]
+        world.give_up(ident)
+        assert [result for result in world.log if result[0] in (api.SHED, api.FAIL)][0][:2] == (verb, ident)
+        assert not world.gateway.commands and not world.gateway.total
