--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -308,7 +308,7 @@
         """Rules: whether one more send can ever be allowed: effect, dedup window, cap."""
         ran_at = cmd.ran_at if cmd.ran_engine >= 0 else cmd.sent_at
         return not 0 < self.deal.sends_cap <= cmd.sends and (
-            cmd.ran_engine < 0 and cmd.state != OUT or cmd.kind.effect == api.REPLAYABLE or
+            cmd.ran_engine < 0 or cmd.kind.effect == api.REPLAYABLE or
             cmd.kind.effect == api.UNIQUED and self.now + MARGIN_US < ran_at + cmd.kind.dedup_us)
 
     def _may_start(self, cmd):
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -329,3 +329,14 @@
         world.give_up(ident)
         assert [result for result in world.log if result[0] in (api.SHED, api.FAIL)][0][:2] == (verb, ident)
         assert not world.gateway.commands and not world.gateway.total
+
+
+def test_a_non_replayable_send_that_was_turned_away_unseen_goes_again():
+    """It was shed at once, though it provably never ran: the state of the ended send stood in the way."""
+    world = Driver(agreement(profile(effect=api.NON_REPLAYABLE)))
+    world.engines(*READY4)
+    ident = world.command()
+    world.end(ident, api.FULL)
+    assert world.out() == [ident] and not any(result[0] == api.SHED for result in world.log)
+    world.end(ident, api.ERROR)
+    assert (api.FAIL, ident) in world.log
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,667 @@
+"""The gateway on loopback sockets, against small stand-ins of engines, a client and the coordinator."""
+
+import json
+import os
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import time
+from pathlib import Path
+from threading import Event, Thread
+
+import pytest
+
+from gullhold import interface as api
+from gullhold.net import resp, service, thrift
+
+ROOT = Path(__file__).parent.parent
+PATIENCE = 8  # seconds until a wait fails: far more than any of these takes
+
+
+def until(true):
+    """Wait for it."""
+    end = time.monotonic() + PATIENCE
+    while not true():
+        assert time.monotonic() < end, "waited in vain"
+        time.sleep(0.005)
+
+
+class Engine:
+    """Listens, keeps what it is told, and answers as its `acts` say: one a fetch, the last for ever."""
+
+    def __init__(self, *acts):
+        self.acts, self.told, self.conns = list(acts) or [ok()], [], []
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            try:
+                conn = self.sock.accept()[0]
+            except OSError:
+                return
+            self.conns.append(conn)
+            Thread(target=self._serve, args=(conn,), daemon=True).start()
+
+    def _serve(self, conn):
+        machine, act, where = resp.Decoder(200_000), None, len(self.conns)
+        try:
+            while machine.buffer.receive(conn):
+                for words in machine.arrays():
+                    self.told.append((where, *words))
+                    if words[0] == b"fetch":
+                        act = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
+                    if words[0] == b"alive" and act is not mute:
+                        conn.sendall(resp.encode(words[1], b"alive"))
+                    elif act:
+                        act(conn, *words)
+        except OSError:
+            pass
+
+    def words(self, verb):
+        """All that it was told with this verb."""
+        return [words for words in self.told if words[1] == verb]
+
+    def close(self):
+        """The process dies."""
+        self.sock.close()
+        for conn in self.conns:
+            if conn.fileno() >= 0:
+                resets(conn, b"fetch")
+
+
+def ok(*pages, fields=b"cost=20.5,need=64,load=inflight:7;x0:0.5"):
+    """An act: serve these pages."""
+    pages = pages or (b"a\tb\tc\n",)
+
+    def act(conn, verb, *words):
+        if verb == b"fetch":
+            conn.sendall(resp.encode(words[0], b"200", b"pages=%d,%s" % (len(pages), fields), pages[0]))
+        if verb == b"more":
+            conn.sendall(resp.encode(words[0], b"chunk", b"page=" + words[1], pages[int(words[1])]))
+
+    return act
+
+
+def says(word, *rest):
+    """An act: answer this to a fetch."""
+    return lambda conn, verb, *words: (
+        verb == b"fetch" and conn.sendall(resp.encode(words[0], word, *rest, b"-", b""))
+    )
+
+
+def raw(data):
+    """An act: these bytes, whatever they are."""
+    return lambda conn, verb, *_: verb == b"fetch" and conn.sendall(data)
+
+
+def resets(conn, verb, *_):
+    """An act: the process dies with the send open."""
+    if verb == b"fetch":
+        conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        conn.close()
+
+
+def mute(*_):
+    """An act: nothing, as a machine that vanished."""
+
+
+def endless(*_):
+    """An act: a query that never ends, on a connection that works."""
+
+
+def settings(**other):
+    """The settings tree of a small deployment."""
+    kinds = (("read", "pure", 4.0, 0.2), ("mark", "token", 4.0, 1.0), ("once", "side_effect", 4.0, 1.0))
+    return {
+        "balancers": 1,
+        "my_zone": 0,
+        "dcs": ["x"],
+        "kinds": ["k"],
+        "registry_mode": "push",
+        "categories": [
+            {
+                "name": name,
+                "aim": aim,
+                "give_up": late,
+                "idempotency": effect,
+                "value": 1.0,
+                "dedup_scope": "all",
+                "window": 5.0,
+                "late_worth": 0.5,
+            }
+            for name, effect, late, aim in kinds
+        ],
+        "domain": {
+            "parallelism": [1, 1, 1],
+            "cores_by_kind": [16],
+            "ram_of_kind_mb": [65536],
+            "grants_count": True,
+            "max_grant_share": 0.5,
+            "takes_priority": True,
+            "note_period": 0.2,
+        },
+        "limits": {
+            "attempts_cap": 6,
+            "cancel": True,
+            "streams_per_conn": 32,
+            "connect_timeout": 0.25,
+            "conn_idle": 15.0,
+            "max_open": 1000,
+        }
+        | other,
+        "rules": {"drain_grace": 0.5, "cold_from": 0.3, "warm_after": 1, "fall_multiple": 3, "tip_after": 1},
+        "telemetry": {"fields": ["inflight", "x1", "x0"]},
+    }
+
+
+def event(index, *members, whole=False):
+    """One event of the coordinator."""
+    return {
+        "index": index,
+        "endpoints": {
+            "revision": index,
+            "complete": whole,
+            "members": [
+                {
+                    "id": ident,
+                    "host_port": address,
+                    "locality": "x",
+                    "flavor": "k",
+                    "cell": 0,
+                    "phase": phase,
+                    "size": 1,
+                    "up_since_ms": 0,
+                }
+                for ident, address, phase in members
+            ],
+        },
+    }
+
+
+def config(*engines, **other):
+    """A configuration that knows these engines."""
+    members = [(f"s-{i}", engine.address, "ready") for i, engine in enumerate(engines)]
+    return {
+        "name": "n0",
+        "listen": "127.0.0.1:0",
+        "seed": "ff",
+        "settings": settings(**other),
+        "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+        "coordinator": None,
+        "known": {"index": 1, "updates": [event(1, *members, whole=True)]},
+    }
+
+
+class Gateway:
+    """A gateway in this process."""
+
+    def __init__(self, tmp_path, told):
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(told))
+        self.core, runs = service.assemble(service.load(path))
+        self.door = runs["door"].__self__
+        self.address = self.door.sock.getsockname()
+        for run in (*runs.values(), self._run):
+            Thread(target=run, daemon=True).start()
+        self.told = service.load(path)
+
+    def _run(self):
+        until(lambda: hasattr(self, "told"))
+        self.core.run(self.told["changes"])
+
+    def count(self, name):
+        """A counter."""
+        return self.core.counters.counts[name]
+
+    def end(self):
+        """It ends with nothing owed."""
+        until(lambda: not self.core.owed)
+        self.core.post(setattr, self.core, "stopped", True)
+        until(lambda: self.core.stopped)
+        self.door.sock.close()
+        assert not self.count("faults of ours") and not self.count("overdue")
+        assert not self.core.owed and not self.core.txns and not self.core.gateway.commands
+
+
+@pytest.fixture
+def start(tmp_path):
+    """Starts a gateway over some engines; all of it ends with the test."""
+    made, engines = [], []
+
+    def make(*parts, **other):
+        engines.extend(parts)
+        made.append(Gateway(tmp_path, config(*parts, **other)))
+        return made[-1], Caller(made[-1].address)
+
+    yield make
+    for gateway in made:
+        gateway.end()
+    for engine in engines:
+        engine.close()
+
+
+class Caller:
+    """A client's connection."""
+
+    serial = 0
+
+    def __init__(self, address):
+        self.sock = socket.create_connection(address, timeout=PATIENCE)
+        self.buffer, self.seq = b"", 0
+
+    def send(self, method, body, kind=thrift.CALL, seq=None):
+        """One frame; its sequence number."""
+        self.seq += 1
+        seq = seq or self.seq
+        message = thrift._message(kind, method, seq, body + b"\0")
+        self.sock.sendall(message)
+        return seq
+
+    def ask(self, verb="read", limit=3000, seq=None, txn=None, body=b"select 1 from sales_3.t", **other):
+        """Ask for a command; its sequence number."""
+        Caller.serial += 1
+        txn = txn or b"%016x" % Caller.serial
+        fields = {
+            b"verb": verb.encode(),
+            b"txn": txn,
+            b"limit": b"%d" % limit,
+            b"cpu": b"20",
+            b"memory": b"50",
+        }
+        fields |= {key.encode(): value for key, value in other.items()}
+        args = b"\x0d\0\1" + thrift._map(fields) + b"\x0b\0\2" + thrift._string(body)
+        return self.send("execute", args, seq=seq)
+
+    def interrupt(self, seq):
+        """Stop waiting."""
+        self.send("interrupt", b"\x08\0\1" + struct.pack(">i", seq), kind=thrift.ONEWAY)
+
+    def answer(self):
+        """(sequence number, what) of the next answer; None at the end of the connection."""
+        while len(self.buffer) < 4 or len(self.buffer) < 4 + struct.unpack(">i", self.buffer[:4])[0]:
+            try:
+                data = self.sock.recv(100_000)
+            except ConnectionError:
+                data = b""
+            if not data:
+                return None
+            self.buffer += data
+        size = struct.unpack(">i", self.buffer[:4])[0]
+        scan = thrift.Scan(self.buffer[4 : 4 + size])
+        self.buffer = self.buffer[4 + size :]
+        kind = scan.take(4)[3]
+        scan.string()
+        seq, result = scan.number(thrift.I32S), scan.fields()
+        if kind == thrift.EXCEPTION:
+            return seq, "exception"
+        if (0, thrift.STRUCT) in result:
+            found = result[0, thrift.STRUCT]
+            return seq, found[1, thrift.STRING] if found[3, thrift.BOOL] else "unfit"
+        return seq, "shed" if (1, thrift.STRUCT) in result else "fault"
+
+
+def test_a_command_is_answered_with_all_its_pages_in_order(start):
+    engine = Engine(ok(b"1\t2\t3\n" * 800, b"4\t5\t6\n" * 900, b"7\t8\t9\n"))
+    gateway, client = start(engine)
+    seq = client.ask(
+        "mark", unique=b"5c0f", txn=b"9b1f03aa5c7e2d41", body="select 'é\r\n' from a_1.b".encode()
+    )
+    assert client.answer() == (seq, b"1\t2\t3\n" * 800 + b"4\t5\t6\n" * 900 + b"7\t8\t9\n")
+    ((_, _, txn, fields, body),) = engine.words(b"fetch")
+    fields = resp.fields(fields)
+    assert txn == b"9b1f03aa5c7e2d41" and body == "select 'é\r\n' from a_1.b".encode()
+    assert fields[b"c"] == b"mark" and fields[b"i"] == b"5c0f" and 0 < int(fields[b"mem"]) < 200
+    assert 2000 < int(fields[b"w"]) <= 3000 and fields[b"prio"] in (b"1", b"3")
+    until(lambda: engine.words(b"done"))
+    assert [words[3] for words in engine.words(b"more")] == [b"1", b"2"] and gateway.count("answered") == 1
+
+
+def test_what_an_answer_tells_reaches_the_module_in_its_units(start):
+    gateway, client = start(Engine(ok()))
+    seen, inner = [], gateway.core.gateway.ended
+    gateway.core.gateway.ended = lambda *args: seen.append(args) or inner(*args)
+    client.ask()
+    client.answer()
+    until(lambda: seen)
+    _, _, send, outcome, closed, latency, cost, need, report = seen[0]
+    assert (send, outcome, closed, cost, need, report) == (
+        0,
+        api.ANSWERED,
+        True,
+        20_500,
+        64.0,
+        (7.0, 0.0, 0.5),
+    )
+    assert 0 < latency < 1_000_000
+
+
+def test_many_requests_on_one_connection_each_get_one_whole_frame(start):
+    page = b"x\ty\tz\n" * 900
+    gateway, client = start(Engine(ok(*[page] * 8)), Engine(ok(*[page] * 8)))
+    asked = {client.ask() for _ in range(32)}
+    time.sleep(0.2)  # a client that reads late: nothing may be mixed up or lost
+    answers = [client.answer() for _ in range(32)]
+    assert {seq for seq, _ in answers} == asked and all(body == page * 8 for _, body in answers)
+
+
+@pytest.mark.parametrize(
+    ("verb", "act", "want"),
+    [
+        ("once", says(b"503"), b"a\tb\tc\n"),
+        ("once", says(b"504"), b"a\tb\tc\n"),
+        ("once", says(b"500"), "fault"),
+        ("read", says(b"500"), b"a\tb\tc\n"),
+        ("mark", says(b"500"), b"a\tb\tc\n"),
+        ("once", resets, "fault"),
+        ("read", resets, b"a\tb\tc\n"),
+        ("mark", resets, b"a\tb\tc\n"),
+        ("read", raw(b"+OK\r\n"), b"a\tb\tc\n"),
+        ("once", raw(b"*1\r\n$99999999\r\n"), "fault"),
+        ("read", says(b"chunk"), b"a\tb\tc\n"),
+        ("read", says(b"200", b"pages=x"), b"a\tb\tc\n"),
+        ("read", mute, b"a\tb\tc\n"),
+        ("once", mute, "fault"),
+    ],
+)
+def test_a_send_that_fails_goes_again_only_where_that_does_no_harm(start, verb, act, want):
+    engine = Engine(act, ok())
+    gateway, client = start(engine)
+    seq = client.ask(verb)
+    assert client.answer() == (seq, want)
+    assert len(engine.words(b"fetch")) == (1 if want == "fault" else 2)
+
+
+def test_a_refused_connection_proves_that_nothing_ran(start):
+    dead, engine = Engine(), Engine()
+    dead.sock.close()
+    gateway, client = start(dead, engine)
+    for _ in range(6):
+        seq = client.ask("once")
+        assert client.answer() == (seq, b"a\tb\tc\n")
+    assert len(engine.words(b"fetch")) == 6
+
+
+@pytest.mark.parametrize(
+    "page",
+    [
+        lambda conn, txn: conn.sendall(resp.encode(txn, b"500", b"-", b"")),
+        lambda conn, txn: resets(conn, b"fetch"),
+        lambda conn, txn: conn.sendall(resp.encode(txn, b"chunk", b"page=7", b"x")),
+    ],
+)
+def test_a_result_that_breaks_off_is_never_passed_on(start, page):
+    def breaks(conn, verb, *words):
+        if verb == b"fetch":
+            conn.sendall(resp.encode(words[0], b"200", b"pages=3", b"half\n"))
+        if verb == b"more":
+            page(conn, words[0])
+
+    engine = Engine(breaks, ok())
+    gateway, client = start(engine)
+    seq = client.ask()
+    assert client.answer() == (seq, b"a\tb\tc\n")
+    seq = client.ask("once")
+    assert client.answer() == (seq, b"a\tb\tc\n")
+
+
+def test_a_query_that_never_ends_is_answered_before_the_client_timeout_and_given_up(start):
+    engine = Engine(endless)
+    gateway, client = start(engine)
+    began = time.monotonic()
+    seq = client.ask("once", limit=700)
+    assert client.answer() == (seq, "fault")
+    assert 0.5 < time.monotonic() - began < 1.0
+    until(lambda: engine.words(b"abort"))
+    assert engine.words(b"alive") and gateway.count("sends timed out") == 1
+
+
+def test_a_time_that_is_up_is_answered_at_once_and_nothing_is_sent(start):
+    engine = Engine()
+    gateway, client = start(engine)
+    for limit in (0, -5, 10):
+        seq = client.ask(limit=limit)
+        assert client.answer() == (seq, "shed")
+    assert not engine.told
+
+
+def test_a_client_that_stops_waiting_is_owed_nothing_and_its_late_answer_is_passed_over(start):
+    late = []
+
+    def keeps(conn, verb, *words):
+        if verb == b"fetch":
+            late.append((conn, words[0]))
+        if verb == b"abort":  # it had ended already: the answer crosses
+            conn.sendall(resp.encode(words[0], b"200", b"pages=1", b"late\n"))
+
+    engine = Engine(keeps, ok())
+    gateway, client = start(engine)
+    first = client.ask()
+    until(lambda: late)
+    client.interrupt(first)
+    until(lambda: gateway.count("late or unknown answers"))
+    second = client.ask()
+    assert client.answer() == (second, b"a\tb\tc\n")
+
+
+def test_a_second_send_of_an_id_keeps_off_the_link_where_the_first_may_still_answer(start):
+    engine = Engine(endless, ok())
+    gateway, client = start(engine)
+    seq = client.ask(limit=4000, cpu=b"20")  # far past the usual: started afresh at the only engine
+    assert client.answer() == (seq, b"a\tb\tc\n")
+    first, second = engine.words(b"fetch")
+    assert first[2] == second[2] and first[0] != second[0] and engine.words(b"abort")[0][0] == first[0]
+
+
+def test_bad_requests_are_answered_and_nothing_is_sent(start):
+    engine = Engine()
+    gateway, client = start(engine)
+    asked = [
+        client.ask("odd"),
+        client.ask(txn=b"1"),
+        client.ask(cpu=b"nan"),
+        client.ask(limit=b"x" and 1, memory=b"-"),
+    ]
+    assert [client.answer() for _ in asked] == [(seq, "fault") for seq in asked]
+    seq = client.send("odd", b"")
+    assert client.answer() == (seq, "exception")
+    seq = client.send("execute", b"\x0b\0\2" + thrift._string(b"x"))
+    assert client.answer() == (seq, "exception")
+    seq = client.send("check", b"\x02\0\1\1")
+    assert client.answer() == (seq, b"")
+    assert not engine.told
+
+
+def test_a_broken_frame_ends_that_connection_alone(start):
+    gateway, client = start(Engine())
+    for data in (
+        b"\xff\xff\xff\xff",
+        b"\x7f\xff\xff\xff",
+        b"\0\0\0\x08GET / HT",
+        thrift.answer("execute", 1),
+    ):
+        other = Caller(gateway.address)
+        other.sock.sendall(data)
+        assert other.answer() is None
+    cut = Caller(gateway.address)
+    cut.sock.sendall(b"\0\0\1\0abc")
+    cut.sock.close()
+    seq = client.ask()
+    assert client.answer() == (seq, b"a\tb\tc\n")
+    assert gateway.count("client connection: malformed bytes") == 4
+
+
+def test_a_sequence_number_that_is_open_ends_the_connection_and_its_work(start):
+    engine = Engine(endless)
+    gateway, client = start(engine)
+    client.ask(seq=5)
+    until(lambda: engine.words(b"fetch"))
+    client.ask(seq=5)
+    assert client.answer() is None
+    until(lambda: engine.words(b"abort"))
+
+
+def test_a_client_that_half_closes_gets_its_answer(start):
+    def slow(conn, verb, *words):
+        if verb == b"fetch":
+            time.sleep(0.3)
+            ok()(conn, verb, *words)
+
+    gateway, client = start(Engine(slow))
+    seq = client.ask()
+    client.sock.shutdown(socket.SHUT_WR)
+    assert client.answer() == (seq, b"a\tb\tc\n") and client.answer() is None
+
+
+def test_over_the_open_cap_is_shed(start):
+    engine = Engine(endless)
+    gateway, client = start(engine, max_open=2)
+    asked = [client.ask() for _ in range(3)]
+    assert client.answer() == (asked[2], "shed")
+    client.sock.close()
+    until(lambda: len(engine.words(b"abort")) == 2)
+
+
+def test_a_module_that_fails_costs_one_command_its_answer_and_no_other(start):
+    gateway, client = start(Engine())
+    inner = gateway.core.gateway.command
+
+    def fails(now, ident, *rest):
+        if rest[0] == 2:
+            raise ValueError("odd")
+        return inner(now, ident, *rest)
+
+    gateway.core.gateway.command = fails
+    bad, good = client.ask("once"), client.ask()
+    assert {client.answer(), client.answer()} == {(bad, "fault"), (good, b"a\tb\tc\n")}
+    assert gateway.count("faults of the module") == 1
+
+
+class Feed:
+    """The coordinator's stand-in: keeps how it was asked, and says what it is told to."""
+
+    def __init__(self):
+        self.asked, self.conn, self.up = [], None, Event()
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+        Thread(target=self._accept, daemon=True).start()
+
+    def _accept(self):
+        while True:
+            conn = self.sock.accept()[0]
+            self.asked.append(conn.recv(100))
+            self.conn = conn
+            self.up.set()
+
+    def say(self, *lines):
+        """Lines, JSON or plain."""
+        assert self.up.wait(PATIENCE)
+        self.conn.sendall(
+            b"".join(line if isinstance(line, bytes) else json.dumps(line).encode() + b"\n" for line in lines)
+        )
+
+
+def test_the_list_of_engines_is_followed_and_a_drain_stops_sends(tmp_path):
+    feed, old, new = Feed(), Engine(), Engine()
+    gateway = Gateway(tmp_path, config(old) | {"coordinator": feed.address})
+    client = Caller(gateway.address)
+    client.ask()
+    client.answer()
+    feed.say(event(2, ("s-9", new.address, "ready")), event(3, ("s-0", old.address, "draining")), b"3\n")
+    until(lambda: gateway.count("list changes") == 3)
+    for _ in range(4):
+        client.ask()
+        client.answer()
+    assert len(old.words(b"fetch")) == 1 and len(new.words(b"fetch")) == 4
+    feed.say(b"{bad\n")  # followed anew from the last good event; the list holds
+    until(lambda: len(feed.asked) == 2)
+    assert feed.asked == [b"follow 1\n", b"follow 3\n"]
+    feed.say(event(3, ("s-9", new.address, "gone")), event(4, ("s-7", new.address, "ready"), whole=True))
+    until(lambda: gateway.count("list changes") == 4)
+    seq = client.ask()
+    assert client.answer() == (seq, b"a\tb\tc\n") and len(new.words(b"fetch")) == 5
+    assert len({words[0] for words in new.words(b"fetch")}) == 2  # another engine: another link
+    gateway.end()
+
+
+def launch(tmp_path, told):
+    """A gateway in a process of its own."""
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(told))
+    env = {**os.environ, "GW_CONFIG": str(path)}
+    env.pop("GW_LISTEN", None)
+    return subprocess.Popen(
+        [sys.executable, "-m", "gullhold", "serve"],
+        cwd=ROOT,
+        env=env,
+        text=True,
+        stderr=subprocess.PIPE,
+        stdout=subprocess.PIPE,
+    )
+
+
+def free_port():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return sock.getsockname()[1]
+
+
+def test_a_planned_restart_answers_what_is_open_and_exits_with_0(tmp_path):
+    engine, port = Engine(endless, ok()), free_port()
+    told = config(engine) | {"listen": f"127.0.0.1:{port}"}
+    told["settings"]["limits"]["cancel"] = False  # the open one must not be started afresh
+    process = launch(tmp_path, told)
+
+    def up():
+        with socket.socket() as sock:
+            return sock.connect_ex(("127.0.0.1", port)) == 0
+
+    until(up)
+    client = Caller(("127.0.0.1", port))
+    client.send("check", b"\x02\0\1\1")
+    assert client.answer()[1] == b""
+    long = client.ask("once", limit=60_000)
+    until(lambda: engine.words(b"fetch"))
+    process.send_signal(signal.SIGUSR1)
+    began = time.monotonic()
+    process.send_signal(signal.SIGTERM)
+    time.sleep(0.2)
+    other = Caller(("127.0.0.1", port))  # new connections still come, and are served
+    seq = other.ask()
+    assert other.answer() == (seq, b"a\tb\tc\n")
+    other.send("check", b"\x02\0\1\1")
+    assert other.answer()[1] == "unfit"
+    assert client.answer() == (long, "fault") and 2.5 < time.monotonic() - began < 3.7
+    assert process.wait(PATIENCE) == 0
+    log = process.stderr.read()
+    assert log.count("taken: 1") == 1 and log.count("taken: 2") == 1 and "resident" in log
+
+
+@pytest.mark.parametrize(
+    "spoil",
+    [
+        lambda told, path: path.unlink(),
+        lambda told, path: path.write_text("{"),
+        lambda told, path: path.write_text(
+            json.dumps(told | {"known": {"index": 1, "updates": [{"index": 1}]}})
+        ),
+        lambda told, path: path.write_text(json.dumps({k: v for k, v in told.items() if k != "settings"})),
+    ],
+)
+def test_a_configuration_that_cannot_be_used_is_one_plain_line(tmp_path, capsys, spoil):
+    path = tmp_path / "config.json"
+    path.write_text("{}")
+    spoil(config(), path)
+    assert service.serve(path) == 2
+    err = capsys.readouterr().err
+    assert err.startswith("gullhold: ") and err.count("\n") == 1
+
+
+def test_an_address_in_use_is_one_plain_line(tmp_path, capsys):
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        path = tmp_path / "config.json"
+        path.write_text(json.dumps(config() | {"listen": f"127.0.0.1:{sock.getsockname()[1]}"}))
+        assert service.serve(path) == 2
+    assert capsys.readouterr().err.startswith("gullhold: can't listen on 127.0.0.1:")
