Nothing new on links that fell silent; signals reach only the main thread; pressure looked at once

A SIGTERM right behind another signal went unseen: the system gave it to a thread that never runs handlers while the main one slept. A link that is being asked for a sign of life takes no new send.

--- a/gullhold/net/links.py
+++ b/gullhold/net/links.py
@@ -44,7 +44,9 @@
 
     def takes(self, txn, streams):
         """Whether a send of this id may go out here: a late answer to an earlier one must not meet it."""
-        return not (self.ended or self.retired) and len(self.open) < streams and txn not in self.given_up
+        if self.ended or self.retired or self.asked_at:   # asked: it fell silent, and still is
+            return False
+        return len(self.open) < streams and txn not in self.given_up
 
     def shut(self, ending):
         """End it from our side; the reader wakes and reports."""
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -97,8 +97,12 @@
     signal.signal(signal.SIGUSR1, lambda *_: Thread(target=report, daemon=True).start())
     gc.collect()
     gc.freeze()   # what lives to the end need not be looked through again
+    # Only this thread takes signals: one that comes to another while this one sleeps would wait unseen.
+    mine = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+    signal.pthread_sigmask(signal.SIG_BLOCK, mine)
     for name, run in runs.items():
         Thread(target=run, name=name, daemon=True).start()
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, mine)
     logger.info("serving {} on {}", told["name"], told["listen"])
     while not done.wait(report_s or None):
         report()
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -109,7 +109,7 @@
         self.allowance = sum(t.allowance for t in agreement.tenants)   # what our traffic is measured against
         self.traffic, self.traffic_at = self.allowance / agreement.managers * TRAFFIC_US / 1e6, now
         self.part, self.slow, self.total, self.armed = 1.0, 1.0, 0, None
-        self.zeta, self.rose, self.turn = QUOTA[1], False, 0
+        self.zeta, self.rose, self.turn, self.prior = QUOTA[1], False, 0, 1.0   # prior: least usual work
         self.index, self.ids, self.ready, self.near = {}, [], [], []
         vars(self).update({name: [] for name in ENGINE})   # parallel arrays under the dense index
 
@@ -152,6 +152,7 @@
         work = work * self.bias[profile] if work > 0 else self.usual[profile]
         cmd.work = work or FIRST[1] * kind.target_us * kind.threads
         self.usual[profile] += EASE * (cmd.work - self.usual[profile]) if self.usual[profile] else cmd.work
+        self.prior = min(usual for usual in self.usual if usual)
         allowed = kind.target_us + kind.target_stretch * cmd.work / kind.threads
         cmd.target_at, cmd.short = int(now + allowed), allowed <= self.short_us
         cmd.until = cmd.last_at if kind.late_benefit else cmd.target_at   # while an answer still earns
@@ -355,8 +356,7 @@
     def _slow(self, be):
         """How much slower than the fleet, each profile against its usual: what ended there lately fades."""
         fresh = self._fresh(self.seen_at[be])
-        prior = min((work for work in self.usual if work), default=1.0)
-        return (prior + self.seen_slow[be] * fresh) / (prior + self.seen[be] * fresh)
+        return (self.prior + self.seen_slow[be] * fresh) / (self.prior + self.seen[be] * fresh)
 
     def _pressed(self, be):
         return self.slow * self._slow(be) > PRESSURE or self.now < self.full_until[be]
@@ -364,9 +364,9 @@
     def _limit(self, be):
         """The bound on our threads there: the cap, and under pressure the fit or the sample being taken."""
         cap = THREADS_A_CORE * self.cores[be] * self._share() / max(1.0, self._slow(be))
-        if self._pressed(be) and self.stage[be]:
+        if self.stage[be] and self._pressed(be):
             return cap * (1.0, SAMPLE_AT[1], SAMPLE_AT[0])[self.stage[be] - 1]
-        return min(cap, self.bound[be]) if self._pressed(be) and self.bound[be] else cap
+        return min(cap, self.bound[be]) if self.bound[be] and self._pressed(be) else cap
 
     def _sample(self, be):
         """Throughput at the cap, at P1 and at P0, each for a window under pressure, then the fit."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -201,7 +201,7 @@
 def test_an_avoided_engine_is_no_outlier_for_good():
     world = Driver(agreement())
     world.engines(*READY4)
-    world.gateway.usual, world.gateway.seen_at[2] = [WORK], START
+    world.gateway.prior, world.gateway.seen_at[2] = WORK, START
     world.gateway.seen[2], world.gateway.seen_slow[2] = 10 * WORK, 90 * WORK
     assert world.gateway._slow(2) > 5
     world.gateway.now += 90_000 * MS
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -65,9 +65,15 @@
         """All that it was told with this verb."""
         return [words for words in self.told if words[1] == verb]
 
+    def refuse(self):
+        """No new connection comes up."""
+        self.sock.shutdown(socket.SHUT_RDWR)   # closing alone would leave the accept that waits
+        self.sock.close()
+
     def close(self):
         """The process dies."""
-        self.sock.close()
+        if self.sock.fileno() >= 0:
+            self.refuse()
         for conn in self.conns:
             if conn.fileno() >= 0:
                 resets(conn, b"fetch")
@@ -377,7 +383,7 @@
 
 def test_a_refused_connection_proves_that_nothing_ran(start):
     dead, engine = Engine(), Engine()
-    dead.sock.close()
+    dead.refuse()
     gateway, client = start(dead, engine)
     for _ in range(6):
         seq = client.ask("once")
@@ -456,6 +462,19 @@
     assert first[2] == second[2] and first[0] != second[0] and engine.words(b"abort")[0][0] == first[0]
 
 
+def test_nothing_new_goes_out_on_a_link_that_fell_silent(start):
+    """A machine that vanished took sends for seconds: its open link looked as good as any."""
+    gone = Engine(mute)
+    gateway, client = start(gone)
+    client.ask("once", limit=3000)
+    until(lambda: gone.words(b"fetch"))
+    gone.refuse()
+    until(lambda: gone.words(b"alive"))
+    client.ask(limit=3000)
+    until(lambda: gateway.count("sends no connection"))
+    assert len(gone.words(b"fetch")) == 1
+
+
 def test_bad_requests_are_answered_and_nothing_is_sent(start):
     engine = Engine()
     gateway, client = start(engine)
