--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import sys
 import threading
 import time
@@ -12,6 +13,8 @@
 from loguru import logger
 
 from gullhold import agreement, policy
+from gullhold.net import thrift
+from gullhold.net.buffer import Buffer
 from gullhold.net.coordinator import Coordinator, Names, members
 from gullhold.net.core import Core
 from gullhold.net.counters import Counters
@@ -110,6 +113,41 @@
     return 0 if core.stopped else 1
 
 
+def explain(path):
+    """Print what a configuration says; the exit status."""
+    try:
+        told = load(path)
+    except Unusable as fault:
+        print(f"gullhold: {fault}", file=sys.stderr)
+        return 2
+    deal = told.pop("deal")
+    print(f"listens on {told['listen']}, coordinator {told['coordinator']}, {told['memory'] >> 20} MB, "
+          f"{told['sockets']} descriptors, list of event {told['last']}")
+    for profile in deal.profiles:
+        print(f"profile {profile}")
+    for tenant in deal.tenants:
+        print(f"tenant {tenant}")
+    print(deal._replace(profiles=(), tenants=()))
+    return 0
+
+
+def check(address, timeout_s):
+    """Ask a gateway whether it serves, as clients do; the exit status."""
+    host, _, port = address.rpartition(":")
+    try:
+        with socket.create_connection((host, int(port)), timeout=timeout_s) as sock:
+            sock.sendall(thrift.check_call(1))
+            buffer = Buffer(thrift.CHECK_MOST)
+            while not (good := thrift.check_answer(buffer)):
+                if good is False or not buffer.receive(sock):
+                    break
+    except (OSError, ValueError, Malformed) as fault:
+        print(f"gullhold: {address}: {fault}", file=sys.stderr)
+        return 1
+    print("serves" if good else "does not serve")
+    return 0 if good else 1
+
+
 def resident():
     """Memory, threads and descriptors of this process, as the system tells them."""
     try:
--- a/gullhold/net/thrift.py
+++ b/gullhold/net/thrift.py
@@ -160,3 +160,24 @@
     """An application exception."""
     return _message(EXCEPTION, method, seq, FIELD.pack(STRING, 1) + _string(text.encode()) +
                     FIELD.pack(I32, 2) + I32S.pack(kind) + bytes((STOP,)))
+
+
+def check_call(seq):
+    """What a client sends to ask whether we serve."""
+    return _message(CALL, "check", seq, FIELD.pack(BOOL, 1) + bytes((1, STOP)))
+
+
+CHECK_MOST = 4096   # bytes of an answer to check, which has no body: far more than it needs
+
+
+def check_answer(buffer):
+    """Whether the answer to check that a buffer holds is good; None while it is not whole."""
+    size = I32S.unpack(buffer.peek(4))[0] if len(buffer) >= 4 else -1
+    frame = buffer.peek(size, 4) if size >= 0 else None
+    if frame is None:
+        return None
+    scan = Scan(frame)
+    _, _, kind = HEAD.unpack(scan.take(HEAD.size))
+    scan.string()
+    scan.number(I32S)
+    return kind == REPLY and scan.fields().get((0, STRUCT), {}).get((3, BOOL), False)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -14,6 +14,7 @@
 import pytest
 
 from gullhold import interface as api
+from gullhold.__main__ import main
 from gullhold.net import resp, service, thrift
 
 ROOT = Path(__file__).parent.parent
@@ -684,3 +685,19 @@
         path.write_text(json.dumps(config() | {"listen": f"127.0.0.1:{sock.getsockname()[1]}"}))
         assert service.serve(path) == 2
     assert capsys.readouterr().err.startswith("gullhold: can't listen on 127.0.0.1:")
+
+
+def test_the_other_sub_commands(start, tmp_path, capsys):
+    gateway, _ = start(Engine())
+    address = f"127.0.0.1:{gateway.address[1]}"
+    assert main(["version"]) == 0 and capsys.readouterr().out.startswith("gullhold 0.")
+    assert main(["check", address]) == 0 and capsys.readouterr().out == "serves\n"
+    gateway.core.leaving_at = 1
+    assert main(["check", address]) == 1 and capsys.readouterr().out == "does not serve\n"
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        silent = f"127.0.0.1:{sock.getsockname()[1]}"
+        assert main(["check", silent, "--timeout", "0.1"]) == 1 and main(["check", "x"]) == 1
+    capsys.readouterr()
+    assert main(["config", "--config", str(tmp_path / "config.json")]) == 0
+    assert "name='mark'" in capsys.readouterr().out
+    assert main(["config", "--config", str(tmp_path / "none")]) == 2
