--- a/gullhold/net/coordinator.py
+++ b/gullhold/net/coordinator.py
@@ -14,7 +14,7 @@
 from gullhold.net.endings import Ending, Malformed
 
 STATES = {"ready": api.READY, "draining": api.DRAINING, "gone": api.GONE}
-SILENT_S = 3   # three of the seconds' numbers, which come once a second by the protocol
+SILENT_S = 2   # two of the seconds' numbers, which come once a second by the protocol
 
 
 class Names:
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -170,7 +170,7 @@
         if cmd is None:
             return
         if cmd.send and cmd.send.link and priority != cmd.priority and self.deal.heeds_priority:
-            cmd.send.link.pipe.put(resp.encode(b"renice", cmd.request.txn, b"%d" % priority))
+            self._tell(cmd.send.link, b"renice", cmd.request.txn, b"%d" % priority)
         cmd.grant, cmd.priority = grant, priority
 
     def _act_cancel(self, number, send_no):
@@ -358,6 +358,11 @@
             if not link.open and not link.ended:
                 link.shut(Ending.RETIRED)
 
+    def _tell(self, link, *words):
+        """A word beside a fetch. If it can't go the link ends: a lost abort would leave a send out."""
+        if link.pipe.put(resp.encode(*words)) < 0 and not link.ended:
+            self.after.append((self._drop_link, link, Ending.BACKED_UP))
+
     def heard(self, link, arrays):
         """An engine said something."""
         link.heard_at, link.asked_at = self.now, 0
@@ -404,10 +409,10 @@
         if send.size > RESULT_MOST or send.total > RESULT_MOST:
             raise Malformed("a result of an absurd size")
         if len(send.pages) < send.total:
-            link.pipe.put(resp.encode(b"more", txn, b"%d" % len(send.pages)))
+            self._tell(link, b"more", txn, b"%d" % len(send.pages))
             return
         if send.total > 1:
-            link.pipe.put(resp.encode(b"done", txn))
+            self._tell(link, b"done", txn)
         cmd = send.command
         if cmd.client:
             self.counters.add("answered")
@@ -446,7 +451,7 @@
             if link.pipe.withdraw(send.message):
                 outcome = api.MOOT
             else:
-                link.pipe.put(resp.encode(b"done" if send.pages else b"abort", txn))
+                self._tell(link, b"done" if send.pages else b"abort", txn)
                 link.given_up.add(txn)
                 link.retired = link.retired or len(link.given_up) >= self.deal.streams
             del link.open[txn]
@@ -493,7 +498,7 @@
                 # Guards against a machine that vanished or was cut off: its links stay open and silent.
                 if not link.asked_at:
                     link.asked_at = self.now
-                    link.pipe.put(resp.encode(ALIVE, ALIVE))
+                    self._tell(link, ALIVE, ALIVE)
                 elif self.now - link.asked_at >= self.silent_us:
                     self._drop_link(link, Ending.SILENT)
 
--- a/gullhold/net/pipe.py
+++ b/gullhold/net/pipe.py
@@ -105,7 +105,7 @@
                 count = sock.send(data)
             except OSError:
                 with self.lock:
-                    self.dead = True
+                    self.dead, self.writing = True, False
                     self.pending.clear()
                 return
             with self.lock:
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -70,9 +70,6 @@
 
 def serve(path, report_s=0):
     """Serve until SIGTERM, with the counters logged so often (0: only at the end); the exit status."""
-    logger.remove()
-    logger.add(sys.stderr, level=os.environ.get("GULLHOLD_LOG", "INFO"),
-               format="{time:HH:mm:ss.SSS} {level} {message}")
     try:
         threading.stack_size(STACK)
         sys.setswitchinterval(SWITCH_S)
@@ -81,6 +78,9 @@
     except Unusable as fault:
         print(f"gullhold: {fault}", file=sys.stderr)
         return 2
+    logger.remove()
+    logger.add(sys.stderr, level=os.environ.get("GULLHOLD_LOG", "INFO"),
+               format="{time:HH:mm:ss.SSS} {level} {message}")
     done, began = Event(), time.monotonic()
 
     def run_core():
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -16,6 +16,8 @@
 from gullhold import interface as api
 from gullhold.__main__ import main
 from gullhold.net import resp, service, thrift
+from gullhold.net.counters import Counters
+from gullhold.net.pipe import Pipe
 
 ROOT = Path(__file__).parent.parent
 PATIENCE = 8  # seconds until a wait fails: far more than any of these takes
@@ -623,6 +625,11 @@
     )
 
 
+def listens(port):
+    with socket.socket() as sock:
+        return sock.connect_ex(("127.0.0.1", port)) == 0
+
+
 def free_port():
     with socket.create_server(("127.0.0.1", 0)) as sock:
         return sock.getsockname()[1]
@@ -633,12 +640,7 @@
     told = config(engine) | {"listen": f"127.0.0.1:{port}"}
     told["settings"]["limits"]["cancel"] = False  # the open one must not be started afresh
     process = launch(tmp_path, told)
-
-    def up():
-        with socket.socket() as sock:
-            return sock.connect_ex(("127.0.0.1", port)) == 0
-
-    until(up)
+    until(lambda: listens(port))
     client = Caller(("127.0.0.1", port))
     client.send("check", b"\x02\0\1\1")
     assert client.answer()[1] == b""
@@ -701,3 +703,57 @@
     assert main(["config", "--config", str(tmp_path / "config.json")]) == 0
     assert "name='mark'" in capsys.readouterr().out
     assert main(["config", "--config", str(tmp_path / "none")]) == 2
+
+
+def tcp_pair():
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        return socket.create_connection(sock.getsockname()), sock.accept()[0]
+
+
+def test_a_pipe_takes_back_only_what_has_not_begun_and_knows_what_went_whole():
+    ours, theirs = tcp_pair()
+    pipe = Pipe(50_000_000, Counters())
+    waits = b"w" * 10
+    assert pipe.put(waits) == 10 and not pipe.whole(10)
+    assert pipe.withdraw(waits) and not pipe.withdraw(waits)   # the connection is not up yet
+    pipe.attach(ours)
+    large, last = b"x" * 9_000_000, b"y" * 10
+    end = pipe.put(large)   # more than the system takes: a writer goes on with it
+    pipe.put(last)
+    assert not pipe.whole(end) and not pipe.withdraw(large) and pipe.withdraw(last)
+    assert not pipe.finish()
+    got = bytearray()
+    while data := theirs.recv(1 << 20):   # to the end: the pipe closes once all is out
+        got += data
+    assert bytes(got) == large and pipe.whole(end) and pipe.put(b"z") == -1
+    theirs.close()
+
+
+def test_a_pipe_that_backs_up_refuses_and_one_that_ends_wakes_its_writer():
+    ours, theirs = tcp_pair()
+    pipe = Pipe(10_000_000, Counters())
+    pipe.attach(ours)
+    assert pipe.put(b"x" * 9_000_000) > 0 and pipe.put(b"x" * 9_000_000) == -1
+    assert pipe.writing and pipe.finish(now=True)
+    until(lambda: not pipe.writing)
+    theirs.close()
+
+
+def test_hundreds_of_connections_stay_inside_the_limits_of_memory_and_descriptors(tmp_path):
+    engine, port = Engine(), free_port()
+    process = launch(tmp_path, config(engine) | {"listen": f"127.0.0.1:{port}"})
+    until(lambda: listens(port))
+    callers = [Caller(("127.0.0.1", port)) for _ in range(330)]   # about the third that clients may hold
+    asked = [[caller.ask() for _ in range(3)] for caller in callers]
+    for caller, seqs in zip(callers, asked, strict=True):
+        answers = [caller.answer() for _ in seqs]
+        assert {seq for seq, _ in answers} == set(seqs)
+        assert all(word in (b"a\tb\tc\n", "shed") for _, word in answers)
+    status = dict(row.split(":", 1) for row in Path(f"/proc/{process.pid}/status").read_text().splitlines())
+    assert int(status["VmHWM"].split()[0]) < 100_000   # kB; the limit of scored days is 192 MB
+    assert len(os.listdir(f"/proc/{process.pid}/fd")) < 400 and int(status["Threads"]) < 400
+    for caller in callers:
+        caller.sock.close()
+    until(lambda: len(os.listdir(f"/proc/{process.pid}/fd")) < 60)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(PATIENCE) == 0
