A cancelled send has ended only when its abort has come to its engine

Ruled out: two sends of one command in the module (its tests check that after every step). Now an alive goes behind the abort, and the outcome reaches the module when that is answered; an answer that crossed the abort counts as what it is. Where we close a link ourselves the outcome waits for the connection timeout. Harm: a further send starts a round trip later.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -42,7 +42,7 @@
         self.gateway, self.deal, self.counters = gateway, deal, counters
         self.message_most, self.links_most = message_most, links_most
         self.queue, self.urgent, self.after, self.timers = SimpleQueue(), deque(), deque(), []
-        self.now, self.serial, self.timer_serial = self.clock(), 0, 0
+        self.now, self.serial, self.timer_serial, self.tags = self.clock(), 0, 0, 0
         self.owed, self.txns, self.engines, self.links = {}, {}, {}, set()
         self.leaving_at, self.settled_at, self.stopped, self.known = 0, 0, False, False
         self.sweep_us = max(deal.connect_us, 100_000)   # between looks at links: time to come up
@@ -380,6 +380,7 @@
         txn, word, facts, body = (*words, b"", b"")[:4]
         send = link.open.get(txn)
         if word == ALIVE:
+            self._confirmed(link, link.confirms.pop(txn, None))
             return
         if send is None:   # a late word on a send that was given up, or nothing of ours
             self.counters.add("late or unknown answers")
@@ -392,6 +393,8 @@
                 self.counters.add("notes")
                 self._ask(send.command, self.gateway.noted, send.command.number, send.number,
                           NOTES[facts[b"note"]], float(facts.get(b"v", 0)))
+        elif word == b"200" and send.leaving and int(facts.get(b"pages", 1)) > 1:
+            return   # it ended just before our abort came, which gave its further pages up
         elif word == b"200" and not send.pages:
             send.facts, send.total = facts, max(1, int(facts.get(b"pages", 1)))
             self._page(link, send, txn, body)
@@ -445,18 +448,38 @@
         return tuple(float(told.get(name.encode(), 0)) for name in self.deal.report_fields) if told else ()
 
     def _stop_send(self, send, outcome):
-        """Give a send up: taken back if none of it has gone, else the engine is told."""
-        link, txn = send.link, send.command.request.txn
+        """Give a send up: taken back if none of it has gone, else the engine is told.
+
+        Guards against two sends out at once: an abort and the fetch that follows it elsewhere travel on
+        different connections. So while a further send may follow, the module hears of the end only when an
+        `alive` behind the abort has been answered; by then no late answer can come either.
+        """
+        cmd, link, txn = send.command, send.link, send.command.request.txn
         if link and link.open.get(txn) is send:
             if link.pipe.withdraw(send.message):
                 outcome = api.MOOT
+            elif outcome == api.CANCELLED and cmd.client and not send.pages:
+                if not send.leaving:
+                    self.tags += 1
+                    tag, send.leaving = b"~%d" % self.tags, True
+                    link.confirms[tag] = send
+                    self._tell(link, b"abort", txn)
+                    self._tell(link, ALIVE, tag)
+                return
             else:
-                self._tell(link, b"done" if send.pages else b"abort", txn)
+                if not send.leaving:
+                    self._tell(link, b"done" if send.pages else b"abort", txn)
                 link.given_up.add(txn)
                 link.retired = link.retired or len(link.given_up) >= self.deal.streams
             del link.open[txn]
         self.after.append((self._end_send, send, outcome))
 
+    def _confirmed(self, link, send):
+        """An abort has come to its engine, and all that the engine said of the send before has come to us."""
+        if send:
+            link.given_up.discard(send.command.request.txn)
+            self._end_send(send, api.CANCELLED)
+
     def _send_due(self, send):
         if send.command.send is send:
             self._stop_send(send, api.TIMED_OUT)
@@ -476,8 +499,15 @@
         routine = ending in (Ending.IDLE, Ending.RETIRED) or ending == Ending.CLOSED and not link.open
         (logger.debug if routine else logger.warning)(
             "link to {} {} {}; {} sends open", link.engine.address, ending.value, text, len(link.open))
+        # Where we closed, the engine learns of it later: until then its sends are still out there.
+        at = self.now + (self.deal.connect_us if ending in endings.OURS else 0)
         for send in list(link.open.values()):
-            self._end_send(send, endings.outcome(0 < send.offset <= link.pipe.written))
+            outcome = endings.outcome(0 < send.offset <= link.pipe.written)
+            if at > self.now:
+                del link.open[send.command.request.txn]
+                self._later(at, self._end_send, send, outcome)
+            else:
+                self._end_send(send, outcome)
 
     def _idle(self, link):
         """Whether the engine may be about to close it for idleness: we close first."""
--- a/gullhold/net/links.py
+++ b/gullhold/net/links.py
@@ -24,16 +24,16 @@
     def __init__(self, command, number, at):
         self.command, self.number, self.sent_at = command, number, at
         self.link, self.message, self.offset = None, b"", 0
-        self.pages, self.total, self.size, self.facts = [], 0, 0, {}
+        self.pages, self.total, self.size, self.facts, self.leaving = [], 0, 0, {}, False
 
 
 class Link:
-    """One connection. The core alone touches open, given_up and the times; the thread connects and reads."""
+    """One connection. Its thread connects and reads; all but the socket is the core's alone."""
 
     def __init__(self, engine, core, most, pipe_most, now):
         self.engine, self.core = engine, core
         self.decoder, self.pipe = resp.Decoder(most), Pipe(pipe_most, core.counters)
-        self.open, self.given_up, self.ended, self.retired = {}, set(), False, False
+        self.open, self.given_up, self.confirms, self.ended, self.retired = {}, set(), {}, False, False
         self.heard_at, self.used_at, self.asked_at, self.sock, self.ending = now, now, 0, None, None
         host, _, port = engine.address.rpartition(":")
         self.address = (host, int(port))
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -35,7 +35,7 @@
     """Listens, keeps what it is told, and answers as its `acts` say: one a fetch, the last for ever."""
 
     def __init__(self, *acts):
-        self.acts, self.told, self.conns = list(acts) or [ok()], [], []
+        self.acts, self.told, self.conns, self.slow = list(acts) or [ok()], [], [], 0
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
         Thread(target=self._accept, daemon=True).start()
@@ -54,10 +54,12 @@
         try:
             while machine.buffer.receive(conn):
                 for words in machine.arrays():
-                    self.told.append((where, *words))
+                    self.told.append((where, *words, time.monotonic()))
                     if words[0] == b"fetch":
                         act = self.acts.pop(0) if len(self.acts) > 1 else self.acts[0]
                     if words[0] == b"alive" and act is not mute:
+                        time.sleep(self.slow)
+                        self.told.append((where, b"alive answered", time.monotonic()))
                         conn.sendall(resp.encode(words[1], b"alive"))
                     elif act:
                         act(conn, *words)
@@ -320,13 +322,14 @@
         "mark", unique=b"5c0f", txn=b"9b1f03aa5c7e2d41", body="select 'é\r\n' from a_1.b".encode()
     )
     assert client.answer() == (seq, b"1\t2\t3\n" * 800 + b"4\t5\t6\n" * 900 + b"7\t8\t9\n")
-    ((_, _, txn, fields, body),) = engine.words(b"fetch")
+    ((_, _, txn, fields, body, _),) = engine.words(b"fetch")
     fields = resp.fields(fields)
     assert txn == b"9b1f03aa5c7e2d41" and body == "select 'é\r\n' from a_1.b".encode()
     assert fields[b"c"] == b"mark" and fields[b"i"] == b"5c0f" and 0 < int(fields[b"mem"]) < 200
     assert 2000 < int(fields[b"w"]) <= 3000 and fields[b"prio"] in (b"1", b"3")
     until(lambda: engine.words(b"done"))
-    assert [words[3] for words in engine.words(b"more")] == [b"1", b"2"] and gateway.count("answered") == 1
+    assert [words[3] for words in engine.words(b"more")] == [b"1", b"2"]
+    until(lambda: gateway.count("answered") == 1)
 
 
 def test_what_an_answer_tells_reaches_the_module_in_its_units(start):
@@ -456,13 +459,29 @@
     assert client.answer() == (second, b"a\tb\tc\n")
 
 
-def test_a_second_send_of_an_id_keeps_off_the_link_where_the_first_may_still_answer(start):
-    engine = Engine(endless, ok())
-    gateway, client = start(engine)
-    seq = client.ask(limit=4000, cpu=b"20")  # far past the usual: started afresh at the only engine
+def test_a_second_send_waits_until_the_abort_of_the_first_has_come_to_its_engine(start):
+    """The two travel on different connections: once in some hundred the fetch overtook the abort."""
+    engines = [Engine(endless, ok()), Engine(endless, ok())]
+    for engine in engines:
+        engine.slow = 0.2
+    gateway, client = start(*engines)
+    seq = client.ask(limit=4000, cpu=b"20")  # far past the usual: started afresh
     assert client.answer() == (seq, b"a\tb\tc\n")
-    first, second = engine.words(b"fetch")
-    assert first[2] == second[2] and first[0] != second[0] and engine.words(b"abort")[0][0] == first[0]
+    told = sorted((words for engine in engines for words in engine.told), key=lambda words: words[-1])
+    order = [words[1] for words in told if words[1] in (b"fetch", b"abort", b"alive answered")]
+    assert order[:4] == [b"fetch", b"abort", b"alive answered", b"fetch"]
+
+
+def test_an_answer_that_crosses_a_cancel_is_the_clients(start):
+    def crosses(conn, verb, *words):
+        if verb == b"abort":
+            ok(b"just\n")(conn, b"fetch", *words)
+    engine = Engine(crosses)
+    gateway, client = start(engine)
+    seq = client.ask(limit=4000, cpu=b"20")
+    assert client.answer() == (seq, b"just\n")
+    assert len(engine.words(b"fetch")) == 1
+    until(lambda: gateway.count("sends answered") == 1)
 
 
 def test_nothing_new_goes_out_on_a_link_that_fell_silent(start):
