The log stops nobody; signals wait for their handlers; odd marks against repeats are refused

A full pipe behind standard error would have held up the core: lines go through a bounded queue and a thread, what finds no room is dropped and counted. A signal between listening and its handler killed the process (seen in a test that sent SIGUSR1 at once). A mark with a comma would have broken the list of fields to the engine; a uniqued command without one can't be known as a repeat. The bound on a result is the bound on a message: 48,000 bytes may not count its separators.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -409,7 +409,7 @@
         """One more page came; after the last the result goes to the client."""
         send.pages.append(body)
         send.size += len(body)
-        if send.size > RESULT_MOST or send.total > RESULT_MOST:
+        if send.size > self.message_most or send.total > RESULT_MOST:
             raise Malformed("a result of an absurd size")
         if len(send.pages) < send.total:
             self._tell(link, b"more", txn, b"%d" % len(send.pages))
--- a/gullhold/net/front.py
+++ b/gullhold/net/front.py
@@ -11,6 +11,7 @@
 
 from loguru import logger
 
+from gullhold import interface as api
 from gullhold.net import endings, statement, thrift
 from gullhold.net.endings import Ending
 from gullhold.net.pipe import Pipe
@@ -18,6 +19,7 @@
 OPEN_MOST = 32         # requests that a client has open on a connection, from the protocol
 RESULT_MOST = 48_000   # bytes of a result, from the protocol
 TXN = re.compile(rb"[0-9a-fA-F]{16}\Z")
+UNIQUE = re.compile(rb"[!-+\--<>-~]*\Z")   # printable, without the signs that a list of fields is built of
 
 
 class Request(NamedTuple):
@@ -71,11 +73,13 @@
             raise Refused("unknown verb")
         if self.tenants and fields.get(b"team") not in self.tenants:
             raise Refused("unknown team")
-        profile = self.profiles[verb]
+        profile, unique = self.profiles[verb], fields.get(b"unique", b"")
+        if not UNIQUE.match(unique) or not unique and self.deal.profiles[profile].effect == api.UNIQUED:
+            raise Refused("unusable unique")   # without it no engine knows a repeat
         limit, work = _figure(fields, b"limit", True), _figure(fields, b"cpu")
         group, table = statement.group(body.decode("utf-8", "replace"))
         key = crc32(table.encode()) or 1 if table and self.deal.profiles[profile].ordered else 0
-        return Request(txn, verb, body, fields.get(b"unique", b""), profile,
+        return Request(txn, verb, body, unique, profile,
                        self.tenants.get(fields.get(b"team"), 0), key, int(limit * 1000), int(work * 1000),
                        _figure(fields, b"memory"), group, b"second" in fields)
 
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -19,10 +19,13 @@
 from gullhold.net.core import Core
 from gullhold.net.counters import Counters
 from gullhold.net.endings import Malformed
-from gullhold.net.front import Door
+from gullhold.net.front import RESULT_MOST, Door
+from gullhold.net.logsink import LogSink
 
 STACK = 256 * 1024   # bytes of address space a thread; only what is touched counts as memory
 SWITCH_S = 0.001     # the longest that one thread keeps another waiting: under any network time that matters
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+LOG_S = 0.2          # at the end, for lines still unwritten
 OWN_SOCKETS = 16     # descriptors beside clients and links: standard ones, listener, coordinator, spare
 
 
@@ -56,7 +59,8 @@
 def assemble(told):
     """The core, and what its other long-lived threads run, by name; the listener is open afterwards."""
     deal = told["deal"]
-    most = told["memory"] // told["sockets"]   # an even part of the memory for each connection's messages
+    # The largest message: an even part of the memory for each connection, and always room for a result.
+    most = max(told["memory"] // told["sockets"], 2 * RESULT_MOST)
     core = Core(policy.Gateway(told["seed"], deal, Core.clock()), deal, Counters(), most,
                 told["sockets"] - told["sockets"] // 3 - OWN_SOCKETS)   # clients hold a third at most
     try:
@@ -70,16 +74,21 @@
 
 def serve(path, report_s=0):
     """Serve until SIGTERM, with the counters logged so often (0: only at the end); the exit status."""
+    # Only this thread takes signals: one that came to another while this one sleeps would wait unseen. And
+    # one that comes before its handler stands waits for it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
         threading.stack_size(STACK)
         sys.setswitchinterval(SWITCH_S)
         told = load(path)
         core, runs = assemble(told)
     except Unusable as fault:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         print(f"gullhold: {fault}", file=sys.stderr)
         return 2
+    sink = LogSink(sys.stderr, core.counters)
     logger.remove()
-    logger.add(sys.stderr, level=os.environ.get("GULLHOLD_LOG", "INFO"),
+    logger.add(sink.put, level=os.environ.get("GULLHOLD_LOG", "INFO"),
                format="{time:HH:mm:ss.SSS} {level} {message}")
     done, began = Event(), time.monotonic()
 
@@ -100,16 +109,14 @@
     signal.signal(signal.SIGUSR1, lambda *_: Thread(target=report, daemon=True).start())
     gc.collect()
     gc.freeze()   # what lives to the end need not be looked through again
-    # Only this thread takes signals: one that comes to another while this one sleeps would wait unseen.
-    mine = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
-    signal.pthread_sigmask(signal.SIG_BLOCK, mine)
     for name, run in runs.items():
         Thread(target=run, name=name, daemon=True).start()
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, mine)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     logger.info("serving {} on {}", told["name"], told["listen"])
     while not done.wait(report_s or None):
         report()
     report()
+    sink.finish(LOG_S)
     return 0 if core.stopped else 1
 
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -260,7 +260,7 @@
 
 DEAL = agreement.read(
     {
-        "categories": [{"name": "lookup"}, {"name": "load", "serial_by_key": True}],
+        "categories": [{"name": "lookup"}, {"name": "load", "serial_by_key": True, "idempotency": "token"}],
         "tenants": [{"name": "acme", "fraction": 1.0}],
     }
 )
@@ -286,7 +286,8 @@
     )
     assert got.key == 0 and got.unique == b"" and got.profile == got.tenant == 0
     one, other = (
-        reader.request({**ASKED, b"verb": b"load"}, b"insert into a_1.%s" % t) for t in (b"x", b"y")
+        reader.request({**ASKED, b"verb": b"load", b"unique": b"5c"}, b"insert into a_1.%s" % t)
+        for t in (b"x", b"y")
     )
     assert one.key and other.key and one.key != other.key
     bare = reader.request({k: v for k, v in ASKED.items() if k not in (b"cpu", b"memory")}, b"")
@@ -296,6 +297,9 @@
 @pytest.mark.parametrize(
     "change",
     [
+        {b"verb": b"load"},
+        {b"unique": b"a,b"},
+        {b"unique": b"a=b"},
         {b"verb": b"odd"},
         {b"team": b"odd"},
         {b"txn": b"9b1f"},
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1,5 +1,6 @@
 """The gateway on loopback sockets, against small stand-ins of engines, a client and the coordinator."""
 
+import fcntl
 import json
 import os
 import signal
@@ -17,6 +18,7 @@
 from gullhold.__main__ import main
 from gullhold.net import resp, service, thrift
 from gullhold.net.counters import Counters
+from gullhold.net.logsink import LINES, LogSink
 from gullhold.net.pipe import Pipe
 
 ROOT = Path(__file__).parent.parent
@@ -283,6 +285,8 @@
             b"cpu": b"20",
             b"memory": b"50",
         }
+        if verb == "mark":
+            fields[b"unique"] = txn * 2
         fields |= {key.encode(): value for key, value in other.items()}
         args = b"\x0d\0\1" + thrift._map(fields) + b"\x0b\0\2" + thrift._string(body)
         return self.send("execute", args, seq=seq)
@@ -628,8 +632,22 @@
     gateway.end()
 
 
-def launch(tmp_path, told):
-    """A gateway in a process of its own."""
+@pytest.fixture
+def launch(tmp_path):
+    """Starts a gateway in a process of its own, which ends with the test."""
+    made = []
+
+    def make(told, **other):
+        made.append(launched(tmp_path, told, **other))
+        return made[-1]
+
+    yield make
+    for process in made:
+        process.kill()
+        process.communicate()
+
+
+def launched(tmp_path, told, stderr=subprocess.PIPE):
     path = tmp_path / "config.json"
     path.write_text(json.dumps(told))
     env = {**os.environ, "GW_CONFIG": str(path)}
@@ -639,7 +657,7 @@
         cwd=ROOT,
         env=env,
         text=True,
-        stderr=subprocess.PIPE,
+        stderr=stderr,
         stdout=subprocess.PIPE,
     )
 
@@ -654,11 +672,11 @@
         return sock.getsockname()[1]
 
 
-def test_a_planned_restart_answers_what_is_open_and_exits_with_0(tmp_path):
+def test_a_planned_restart_answers_what_is_open_and_exits_with_0(launch):
     engine, port = Engine(endless, ok()), free_port()
     told = config(engine) | {"listen": f"127.0.0.1:{port}"}
     told["settings"]["limits"]["cancel"] = False  # the open one must not be started afresh
-    process = launch(tmp_path, told)
+    process = launch(told)
     until(lambda: listens(port))
     client = Caller(("127.0.0.1", port))
     client.send("check", b"\x02\0\1\1")
@@ -758,9 +776,9 @@
     theirs.close()
 
 
-def test_hundreds_of_connections_stay_inside_the_limits_of_memory_and_descriptors(tmp_path):
+def test_hundreds_of_connections_stay_inside_the_limits_of_memory_and_descriptors(launch):
     engine, port = Engine(), free_port()
-    process = launch(tmp_path, config(engine) | {"listen": f"127.0.0.1:{port}"})
+    process = launch(config(engine) | {"listen": f"127.0.0.1:{port}"})
     until(lambda: listens(port))
     callers = [Caller(("127.0.0.1", port)) for _ in range(330)]   # about the third that clients may hold
     asked = [[caller.ask() for _ in range(3)] for caller in callers]
@@ -776,3 +794,46 @@
     until(lambda: len(os.listdir(f"/proc/{process.pid}/fd")) < 60)
     process.send_signal(signal.SIGTERM)
     assert process.wait(PATIENCE) == 0
+
+
+def test_a_log_that_nobody_reads_stops_nobody(launch):
+    """A full pipe behind standard error would have held up the thread that owns the gateway."""
+    dead, engine, port = Engine(), Engine(), free_port()
+    dead.refuse()
+    reading, writing = os.pipe()
+    fcntl.fcntl(writing, fcntl.F_SETPIPE_SZ, 4096)
+    process = launch(config(dead, engine) | {"listen": f"127.0.0.1:{port}"}, stderr=writing)
+    until(lambda: listens(port))
+    for _ in range(300):
+        process.send_signal(signal.SIGUSR1)   # each logs a long line
+        time.sleep(0.001)
+    caller = Caller(("127.0.0.1", port))
+    seq = caller.ask()
+    assert caller.answer() == (seq, b"a\tb\tc\n")
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(PATIENCE) == 0
+    os.close(reading)
+    os.close(writing)
+
+
+def test_a_log_sink_drops_what_finds_no_room_and_counts_it():
+    class Stuck:
+        def __init__(self):
+            self.go, self.text = Event(), ""
+
+        def write(self, text):
+            self.go.wait(PATIENCE)
+            self.text += text
+
+        def flush(self):
+            pass
+
+    stream, counters = Stuck(), Counters()
+    sink = LogSink(stream, counters)
+    for i in range(LINES + 100):
+        sink.put(f"{i}\n")
+    assert counters.counts["log lines dropped"] in (99, 100)
+    stream.go.set()
+    until(sink.lines.empty)
+    sink.finish(PATIENCE)
+    assert stream.text.startswith("0\n1\n2\n") and not sink.thread.is_alive()
