Odd figures of an engine end its link before anything is told; links stay up at the descriptor limit

An engine's cost of inf or text raised after the send had been closed, which left its command to the guard at the client timeout. At the descriptor limit the door ended idle links, and their descriptors went to clients: commands then found no link (seen in the new test at 40 descriptors: shed). Links are bounded already, so the door only waits.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -6,7 +6,7 @@
 import time
 from collections import deque
 from heapq import heappop, heappush
-from math import ceil
+from math import ceil, isfinite
 from queue import Empty, SimpleQueue
 
 from loguru import logger
@@ -338,7 +338,9 @@
         if fresh:
             return max(fresh, key=lambda link: len(link.open))
         if len(self.links) >= self.links_most:
-            self.spare_links()
+            for link in self.links:   # idle ones go, for the next that asks
+                if not link.open and not link.ended:
+                    link.shut(Ending.RETIRED)
             self.counters.add("no descriptor for a link")
             return None
         link = Link(engine, self, self.message_most, OPEN_MOST * self.message_most, self.now)
@@ -352,12 +354,6 @@
         self.counters.peak("links", len(self.links))
         return link
 
-    def spare_links(self):
-        """Descriptors are short: idle links go."""
-        for link in self.links:
-            if not link.open and not link.ended:
-                link.shut(Ending.RETIRED)
-
     def _tell(self, link, *words):
         """A word beside a fetch. If it can't go the link ends: a lost abort would leave a send out."""
         if link.pipe.put(resp.encode(*words)) < 0 and not link.ended:
@@ -396,12 +392,13 @@
         elif word == b"200" and send.leaving and int(facts.get(b"pages", 1)) > 1:
             return   # it ended just before our abort came, which gave its further pages up
         elif word == b"200" and not send.pages:
-            send.facts, send.total = facts, max(1, int(facts.get(b"pages", 1)))
+            send.told, send.total = self._told(facts), max(1, int(facts.get(b"pages", 1)))
             self._page(link, send, txn, body)
         elif word == b"chunk" and send.pages and int(facts.get(b"page", -1)) == len(send.pages):
             self._page(link, send, txn, body)
         elif word in endings.WORDS and word != b"200":
-            self._end_send(send, endings.WORDS[word], facts)
+            send.told = self._told(facts)
+            self._end_send(send, endings.WORDS[word])
         else:
             raise Malformed(f"{word!r} out of turn")
 
@@ -421,9 +418,9 @@
             self.counters.add("answered")
             message = thrift.answer("execute", cmd.seq, b"".join(send.pages))
             self._answer(cmd, message)
-        self._end_send(send, api.ANSWERED, send.facts)
+        self._end_send(send, api.ANSWERED)
 
-    def _end_send(self, send, outcome, facts=None):
+    def _end_send(self, send, outcome):
         """A send is over: the module is told, once."""
         cmd, link = send.command, send.link
         if cmd.send is not send:
@@ -434,18 +431,21 @@
             link.used_at = self.now
         send.message, send.pages = b"", ()
         self.counters.add(f"sends {OUTCOMES[outcome]}")
-        facts = facts or {}
-        cost, need = (float(facts.get(name, 0)) for name in (b"cost", b"need"))
         closed = cmd.client is None
         if closed:
             self._forget(cmd)
         self._ask(cmd, self.gateway.ended, cmd.number, send.number, outcome, closed, self.now - send.sent_at,
-                  int(cost * 1000), need, self._report(facts.get(b"load", b"")))
-
-    def _report(self, text):
-        """The load report in the settings' order; absent where none came."""
-        told = dict(pair.partition(b":")[::2] for pair in text.split(b";")) if text else {}
-        return tuple(float(told.get(name.encode(), 0)) for name in self.deal.report_fields) if told else ()
+                  *send.told)
+
+    def _told(self, facts):
+        """Work and memory that a send needed, and the load report in the settings' order; absent: zero."""
+        load = dict(pair.partition(b":")[::2] for pair in facts.get(b"load", b"").split(b";"))
+        names = [name.encode() for name in self.deal.report_fields] if b"load" in facts else []
+        figures = [float(facts.get(name, 0)) for name in (b"cost", b"need")]
+        figures += [float(load.get(name, 0)) for name in names]
+        if not all(map(isfinite, figures)):
+            raise Malformed("a figure that is none")
+        return int(figures[0] * 1000), figures[1], tuple(figures[2:])
 
     def _stop_send(self, send, outcome):
         """Give a send up: taken back if none of it has gone, else the engine is told.
--- a/gullhold/net/front.py
+++ b/gullhold/net/front.py
@@ -160,7 +160,7 @@
         self.sock.listen(backlog)
 
     def run(self):
-        """Accept for ever; where descriptors or threads are short, idle links go and we try again."""
+        """Accept for ever; where descriptors or threads are short, what waits is taken later."""
         waiting = None
         while True:
             try:
@@ -177,5 +177,4 @@
                     waiting.close()
                     waiting = None
                 self.core.counters.add("accepts put off")
-                self.core.post(self.core.spare_links)
                 time.sleep(0.01)
--- a/gullhold/net/links.py
+++ b/gullhold/net/links.py
@@ -24,7 +24,8 @@
     def __init__(self, command, number, at):
         self.command, self.number, self.sent_at = command, number, at
         self.link, self.message, self.offset = None, b"", 0
-        self.pages, self.total, self.size, self.facts, self.leaving = [], 0, 0, {}, False
+        self.pages, self.total, self.size, self.leaving = [], 0, 0, False
+        self.told = (0, 0, ())   # work in us, memory in MB, load report
 
 
 class Link:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -3,6 +3,7 @@
 import fcntl
 import json
 import os
+import resource
 import signal
 import socket
 import struct
@@ -379,6 +380,8 @@
         ("once", raw(b"*1\r\n$99999999\r\n"), "fault"),
         ("read", says(b"chunk"), b"a\tb\tc\n"),
         ("read", says(b"200", b"pages=x"), b"a\tb\tc\n"),
+        ("read", ok(b"x\n", fields=b"cost=inf"), b"a\tb\tc\n"),
+        ("once", ok(b"x\n", fields=b"need=much"), "fault"),
         ("read", mute, b"a\tb\tc\n"),
         ("once", mute, "fault"),
     ],
@@ -837,3 +840,23 @@
     until(sink.lines.empty)
     sink.finish(PATIENCE)
     assert stream.text.startswith("0\n1\n2\n") and not sink.thread.is_alive()
+
+
+def test_at_the_descriptor_limit_connections_wait_and_are_served_later(launch):
+    engine, port = Engine(), free_port()
+    process = launch(config(engine) | {"listen": f"127.0.0.1:{port}"})
+    until(lambda: listens(port))
+    resource.prlimit(process.pid, resource.RLIMIT_NOFILE, (40, 40))
+    first = Caller(("127.0.0.1", port))
+    seq = first.ask()
+    assert first.answer() == (seq, b"a\tb\tc\n")   # its link to the engine is up
+    callers = [Caller(("127.0.0.1", port)) for _ in range(60)]
+    asked = [caller.ask(limit=9000) for caller in callers]
+    until(lambda: len(os.listdir(f"/proc/{process.pid}/fd")) >= 39)
+    time.sleep(0.1)
+    for caller, seq in zip(callers, asked, strict=True):
+        assert caller.answer() == (seq, b"a\tb\tc\n")
+        caller.sock.close()
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(PATIENCE) == 0
+    assert "accepts put off" in process.stderr.read()
