--- a/gullhold/net/statement.py
+++ b/gullhold/net/statement.py
@@ -9,30 +9,30 @@
 PART = re.compile(NAME, re.S)
 GROUP = re.compile(r"_(\d+)\Z")
 BEFORE_TABLE = frozenset(("from", "join", "into", "update", "table", "using", "only", "copy"))
+AFTER_TABLES = frozenset(("where", "group", "order", "having", "limit", "set", "on", "select", "values"))
 BESIDE = "staging"   # a schema for work in between: never the one that counts
 
 
 def group(text):
     """(group, table) of the first table that counts; (0, "") where there is none.
 
-    A name right after a word that takes a table is sure; others may be a column of an alias.
+    A name where a table must stand is sure; another one with such a schema may be a column of an alias.
     """
-    sure, other, last, listing = None, None, "", False
+    sure, other, expected, listing = None, None, False, False
     for token in TOKEN.finditer(text):
         if token.lastgroup == "skip":
             continue
+        word = token.group().lower()
         if token.lastgroup == "other":
-            last = "," if token.group() == "," and listing else last if token.group() == "(" else ""
+            expected = word == "," and listing or word == "(" and expected
             continue
+        if word in BEFORE_TABLE:
+            expected = listing = True
+            continue
+        listing = listing and word not in AFTER_TABLES
         parts = [part.strip('"`[]') for part in PART.findall(token.group())]
-        takes = last in BEFORE_TABLE or last == ","
-        listing = len(parts) == 1 and parts[0].lower() in BEFORE_TABLE or listing and takes or (
-            listing and len(parts) == 1 and not takes and
-            parts[0].lower() not in ("where", "group", "order", "set"))
         if len(parts) > 1 and parts[-2].lower() != BESIDE and (found := GROUP.search(parts[-2])):
             hit = int(found.group(1)), ".".join(parts)
-            if takes:
-                sure = sure or hit
-            other = other or hit
-        last = parts[0].lower() if len(parts) == 1 else ""
+            sure, other = sure or expected and hit, other or hit
+        expected = False
     return sure or other or (0, "")
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -252,6 +252,10 @@
         ("", 0),
         ("select 'unended from sales_1.x", 0),
         ("select * from sales.orders_17", 0),
+        ("select t_1.a from x t_1, sales_7.y where t_1.a in (select b from lake_2.z)", 7),
+        ("insert into ops_4.x (a, b) values ('sales_1.y', 2)", 4),
+        ("select c_9.x from (select * from mart_6.lines) c_9", 6),
+        ("select max(lake_5.t.x) as m", 0),
     ],
 )
 def test_the_group_is_that_of_the_schema_read_or_written(sql, group):
