--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -260,7 +260,7 @@
             return
         for cmd in list(client.open.values()):
             self._gone(cmd)
-        client.pipe.finish(now=ending != Ending.CLOSED)
+        client.pipe.finish(now=ending not in (Ending.CLOSED, Ending.IDLE))   # what is under way goes out
 
     def _gone(self, cmd):
         self._settle(cmd)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -860,3 +860,12 @@
     process.send_signal(signal.SIGTERM)
     assert process.wait(PATIENCE) == 0
     assert "accepts put off" in process.stderr.read()
+
+
+def test_an_idle_client_connection_is_closed_but_not_while_a_request_is_open(start):
+    gateway, client = start(Engine(endless), conn_idle=0.3)
+    idle = Caller(gateway.address)
+    seq = client.ask("once", limit=1200)
+    assert idle.answer() is None
+    assert client.answer() == (seq, "fault")   # long after the time for idle ones
+    assert client.answer() is None and gateway.count("client connection: idle, closed by us") == 2
