--- a/gullhold/net/endings.py
+++ b/gullhold/net/endings.py
@@ -23,7 +23,6 @@
     IDLE = "idle, closed by us"
     RETIRED = "no longer needed, closed by us"
     FAULT = "fault of ours"
-    LEAVING = "we are leaving"
 
 
 # Ends that we bring about while something is open.
