Every end of a client's connection by us is one Ending too

Two ways in which the core ended a client's connection were told by a text beside the ending; now each is a value of Ending, and what can't go out ends the connection in one place.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -207,8 +207,7 @@
         """A client asks for a command."""
         if seq in client.open:
             client.settled += 1
-            client.fault = f"request {seq} is open already"
-            client.pipe.finish(now=True)
+            client.end(Ending.MALFORMED, f"request {seq} is open already")
             return
         self.counters.add("taken")
         self.serial += 1
@@ -233,14 +232,13 @@
         self.counters.add("unusable")
         client.settled += 1
         if seq in client.open:
-            client.fault = f"request {seq} is open already"
-            client.pipe.finish(now=True)
-        elif client.pipe.put(message) < 0:
-            client.pipe.finish(now=True)
+            client.end(Ending.MALFORMED, f"request {seq} is open already")
+        else:
+            client.put(message)
 
     def check(self, client, seq):
         """The front asks whether we serve: this answer comes from the thread that does."""
-        client.pipe.put(thrift.answer("check", seq, good=self.known and not self.leaving_at))
+        client.put(thrift.answer("check", seq, good=self.known and not self.leaving_at))
 
     def interrupt(self, client, seq):
         """A client stops waiting: no answer is owed."""
@@ -251,9 +249,8 @@
 
     def client_ended(self, client, ending, text):
         """A client's connection can't be read any more; if only half closed, what is open is still owed."""
-        text = client.fault or text
         self.counters.add(f"client connection: {ending.value}")
-        log = logger.warning if ending in (Ending.MALFORMED, Ending.FAULT) or text else logger.debug
+        log = logger.warning if ending in endings.OURS else logger.debug
         log("client connection {}: {}", ending.value, text)
         if ending == Ending.CLOSED and client.open and not client.pipe.dead:
             client.half = True
@@ -268,9 +265,7 @@
 
     def _answer(self, cmd, message):
         client = cmd.client
-        if client.pipe.put(message) < 0:   # it does not read, or is gone: the connection ends
-            self.counters.add("answers that could not go")
-            client.pipe.finish(now=True)
+        client.put(message)
         self._settle(cmd)
         if client.half and client.pipe.dead:   # no reader is left to tell that the client is gone
             for other in list(client.open.values()):
--- a/gullhold/net/front.py
+++ b/gullhold/net/front.py
@@ -90,13 +90,24 @@
     def __init__(self, sock, core, reader, most, idle_us):
         self.sock, self.core, self.reader = sock, core, reader
         self.decoder, self.pipe = thrift.Decoder(most), Pipe(OPEN_MOST * (RESULT_MOST + most), core.counters)
-        self.open, self.taken, self.settled, self.half, self.fault = {}, 0, 0, False, ""
+        self.open, self.taken, self.settled, self.half, self.ending = {}, 0, 0, False, None
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         if idle_us:   # a client that vanished must not hold its descriptor for ever
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO,
                             struct.pack("ll", *divmod(idle_us, 1_000_000)))
         self.pipe.attach(sock)
 
+    def put(self, message):
+        """Send it a whole frame; where that can't be, the connection ends."""
+        if self.pipe.put(message) < 0:
+            self.core.counters.add("answers that could not go")
+            self.end(Ending.RESET if self.pipe.dead else Ending.BACKED_UP, "")
+
+    def end(self, ending, text):
+        """End it from our side, now; the reader wakes and reports."""
+        self.ending = self.ending or (ending, text)
+        self.pipe.finish(now=True)
+
     def run(self):
         """Read until the connection ends."""
         ending, text = Ending.FAULT, ""
@@ -108,7 +119,7 @@
             ending = endings.of_error(error)
         except Exception:   # a fault of ours ends this connection, not the program
             logger.exception("client reader failed")
-        self.core.post(self.core.client_ended, self, ending, text)
+        self.core.post(self.core.client_ended, self, *(self.ending or (ending, text)))
 
     def _read(self):
         while True:
@@ -145,7 +156,7 @@
             core.post(core.check, self, call.seq)
         elif call.kind == thrift.CALL:
             core.counters.add("calls unknown")
-            self.pipe.put(thrift.exception(call.method, call.seq, thrift.UNKNOWN_METHOD, "unknown method"))
+            self.put(thrift.exception(call.method, call.seq, thrift.UNKNOWN_METHOD, "unknown method"))
 
 
 class Door:
