One address split, one mapping of what readers catch, one guard around the module, one frame walk

From a read of the whole change, behaviour as it was: host:port was split in five places, three readers mapped what they caught each on their own, give_up had a guard beside _ask's, check walked frames beside the Decoder, the core worked out a pipe's whole() by hand, report names were encoded for each answer. A docstring of Call was wrong; two names and a parameter that nothing used are gone. policy.py is untouched.

--- a/gullhold/agreement.py
+++ b/gullhold/agreement.py
@@ -48,9 +48,9 @@
         except (KeyError, TypeError, ValueError):
             return absent
 
-    def yes(self, key, absent=False):
-        """A flag."""
-        return str(self.tree.get(key, absent)).lower() == "true"
+    def yes(self, key):
+        """A flag; absent is no."""
+        return str(self.tree.get(key)).lower() == "true"
 
     def word(self, key):
         """A name."""
--- a/gullhold/net/coordinator.py
+++ b/gullhold/net/coordinator.py
@@ -9,7 +9,7 @@
 
 from gullhold import interface as api
 from gullhold.agreement import place_of
-from gullhold.net import endings
+from gullhold.net import endings, host_port
 from gullhold.net.buffer import Buffer
 from gullhold.net.endings import Ending, Malformed
 
@@ -47,8 +47,7 @@
                             STATES[member["phase"]], int(member.get("cell") or 0),
                             int(member.get("up_since_ms") or 0) * 1000))
             if member.get("host_port"):
-                host, _, port = member["host_port"].rpartition(":")
-                addresses[ident] = f"{host}:{int(port)}"
+                addresses[ident] = "{}:{}".format(*host_port(member["host_port"]))
         return entries, addresses, bool(change.get("complete"))
     except (KeyError, TypeError, ValueError, AttributeError) as fault:
         raise Malformed(f"an event of another form: {fault!r}") from None
@@ -86,8 +85,7 @@
     """Follows the stream, for ever, and hands each event to the core."""
 
     def __init__(self, address, last, core, most, names):
-        host, _, port = address.rpartition(":")
-        self.address, self.last, self.core, self.most = (host, int(port)), last, core, most
+        self.address, self.last, self.core, self.most = host_port(address), last, core, most
         self.names = names
 
     def run(self):
@@ -95,17 +93,12 @@
         wait = self.core.deal.connect_us / 1e6
         while True:
             began = time.monotonic()
-            ending, text = Ending.FAULT, ""
             try:
-                ending = self._follow(wait)
-            except Malformed as fault:
-                ending, text = Ending.MALFORMED, str(fault)
+                ending, text = self._follow(wait), ""
             except TimeoutError:
-                ending = Ending.SILENT
-            except OSError as error:
-                ending, text = endings.of_error(error, connecting=True), str(error)
-            except Exception:   # the old list holds; the stream is followed anew
-                logger.exception("coordinator stream failed")
+                ending, text = Ending.SILENT, ""
+            except Exception as error:   # the old list holds; the stream is followed anew
+                ending, text = endings.caught(error, connecting=True)
             self.core.counters.add(f"coordinator: {ending.value}")
             logger.warning("coordinator: {} {}; following on from event {}", ending.value, text, self.last)
             time.sleep(max(0.0, wait - (time.monotonic() - began)))
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -41,6 +41,7 @@
     def __init__(self, gateway, deal, counters, message_most, links_most):
         self.gateway, self.deal, self.counters = gateway, deal, counters
         self.message_most, self.links_most = message_most, links_most
+        self.report = [name.encode() for name in deal.report_fields]
         self.queue, self.urgent, self.after, self.timers = SimpleQueue(), deque(), deque(), []
         self.now, self.serial, self.timer_serial, self.tags = self.clock(), 0, 0, 0
         self.owed, self.txns, self.engines, self.links = {}, {}, {}, set()
@@ -126,9 +127,6 @@
             results = list(self.gateway.out)   # what it had decided until then holds
             if cmd and cmd.client and not cmd.send:
                 self.after.append((self._give_up, cmd))
-        self._obey(results)
-
-    def _obey(self, results):
         for verb, *facts in results:
             self.ACTIONS[verb](self, *facts)
 
@@ -295,13 +293,8 @@
     def _give_up(self, cmd):
         """The command must end now: the final answer is the module's, else a failure: no promise."""
         if cmd.client:
-            try:
-                results = self.gateway.give_up(self.now, cmd.number)
-            except Exception:   # guards against a module that fails on this command again
-                logger.exception("the module failed in give_up")
-                results = []
-            self._obey(results)
-            self._act_fail(cmd.number)
+            self._ask(None, self.gateway.give_up, cmd.number)
+            self._act_fail(cmd.number)   # for a module that fails on this command again
 
     # Engines
 
@@ -316,9 +309,8 @@
         states = {entry[0]: entry[4] for entry in entries}
         self.counters.add("list changes")
         for engine in self.engines.values():
-            state = states.get(engine.id, api.GONE if whole else engine.state)
-            engine.state = state
-            if state != api.READY:   # what has not begun to go out must not go any more
+            engine.state = states.get(engine.id, api.GONE if whole else engine.state)
+            if engine.state != api.READY:   # what has not begun to go out must not go any more
                 for link in list(engine.links):
                     for send in [send for send in link.open.values() if link.pipe.withdraw(send.message)]:
                         self.after.append((self._end_send, send, api.MOOT))
@@ -435,9 +427,8 @@
     def _told(self, facts):
         """Work and memory that a send needed, and the load report in the settings' order; absent: zero."""
         load = dict(pair.partition(b":")[::2] for pair in facts.get(b"load", b"").split(b";"))
-        names = [name.encode() for name in self.deal.report_fields] if b"load" in facts else []
         figures = [float(facts.get(name, 0)) for name in (b"cost", b"need")]
-        figures += [float(load.get(name, 0)) for name in names]
+        figures += [float(load.get(name, 0)) for name in self.report if b"load" in facts]
         if not all(map(isfinite, figures)):
             raise Malformed("a figure that is none")
         return int(figures[0] * 1000), figures[1], tuple(figures[2:])
@@ -497,7 +488,7 @@
         # Where we closed, the engine learns of it later: until then its sends are still out there.
         at = self.now + (self.deal.connect_us if ending in endings.OURS else 0)
         for send in list(link.open.values()):
-            outcome = endings.outcome(0 < send.offset <= link.pipe.written)
+            outcome = endings.outcome(send.offset > 0 and link.pipe.whole(send.offset))
             if at > self.now:
                 del link.open[send.command.request.txn]
                 self._later(at, self._end_send, send, outcome)
--- a/gullhold/net/endings.py
+++ b/gullhold/net/endings.py
@@ -2,6 +2,8 @@
 
 from enum import Enum
 
+from loguru import logger
+
 from gullhold import interface as api
 
 
@@ -36,6 +38,16 @@
     return api.RESET if whole else api.NO_CONNECTION
 
 
+def caught(error, connecting=False):
+    """(ending, text) for what a reader caught; all that no protocol or system explains is our fault."""
+    if isinstance(error, Malformed):
+        return Ending.MALFORMED, str(error)
+    if isinstance(error, OSError):
+        return of_error(error, connecting), str(error)
+    logger.opt(exception=error).error("a reader failed")
+    return Ending.FAULT, ""
+
+
 def of_error(error, connecting=False):
     """The ending that an operating system's error stands for."""
     if isinstance(error, ConnectionRefusedError):
--- a/gullhold/net/front.py
+++ b/gullhold/net/front.py
@@ -9,10 +9,8 @@
 from typing import NamedTuple
 from zlib import crc32
 
-from loguru import logger
-
 from gullhold import interface as api
-from gullhold.net import endings, statement, thrift
+from gullhold.net import endings, host_port, statement, thrift
 from gullhold.net.endings import Ending
 from gullhold.net.pipe import Pipe
 
@@ -110,15 +108,10 @@
 
     def run(self):
         """Read until the connection ends."""
-        ending, text = Ending.FAULT, ""
         try:
-            ending = self._read()
-        except endings.Malformed as fault:
-            ending, text = Ending.MALFORMED, str(fault)
-        except OSError as error:
-            ending = endings.of_error(error)
-        except Exception:   # a fault of ours ends this connection, not the program
-            logger.exception("client reader failed")
+            ending, text = self._read(), ""
+        except Exception as error:   # a fault of ours ends this connection, not the program
+            ending, text = endings.caught(error)
         self.core.post(self.core.client_ended, self, *(self.ending or (ending, text)))
 
     def _read(self):
@@ -163,11 +156,10 @@
     """Takes connections, to the very end: what waits in the backlog counts as taken."""
 
     def __init__(self, address, core, deal, most, backlog):
-        host, _, port = address.rpartition(":")
         self.core, self.reader, self.most, self.idle_us = core, Reader(deal), most, deal.idle_us
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        self.sock.bind((host, int(port)))
+        self.sock.bind(host_port(address))
         self.sock.listen(backlog)
 
     def run(self):
--- a/gullhold/net/links.py
+++ b/gullhold/net/links.py
@@ -4,9 +4,7 @@
 from contextlib import suppress
 from threading import Thread
 
-from loguru import logger
-
-from gullhold.net import endings, resp
+from gullhold.net import endings, host_port, resp
 from gullhold.net.endings import Ending
 from gullhold.net.pipe import Pipe
 
@@ -36,8 +34,7 @@
         self.decoder, self.pipe = resp.Decoder(most), Pipe(pipe_most, core.counters)
         self.open, self.given_up, self.confirms, self.ended, self.retired = {}, set(), {}, False, False
         self.heard_at, self.used_at, self.asked_at, self.sock, self.ending = now, now, 0, None, None
-        host, _, port = engine.address.rpartition(":")
-        self.address = (host, int(port))
+        self.address = host_port(engine.address)
 
     def start(self):
         """Connect and read, in a thread of its own."""
@@ -66,7 +63,7 @@
             try:
                 sock.connect(self.address)
             except OSError as error:
-                ending, text = endings.of_error(error, connecting=True), str(error)
+                ending, text = endings.caught(error, connecting=True)
                 return
             sock.settimeout(None)
             self.sock = sock
@@ -76,12 +73,8 @@
             core.counters.add("links up")
             self.pipe.attach(sock)
             ending = self._read(sock)
-        except endings.Malformed as fault:
-            ending, text = Ending.MALFORMED, str(fault)
-        except OSError as error:
-            ending, text = endings.of_error(error), str(error)
-        except Exception:   # a fault of ours ends this link, not the program
-            logger.exception("link reader failed")
+        except Exception as error:   # a fault of ours ends this link, not the program
+            ending, text = endings.caught(error)
         finally:
             self.pipe.finish(now=True)
             if sock is not None:
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -13,8 +13,7 @@
 from loguru import logger
 
 from gullhold import agreement, policy
-from gullhold.net import thrift
-from gullhold.net.buffer import Buffer
+from gullhold.net import host_port, thrift
 from gullhold.net.coordinator import Coordinator, Names, members
 from gullhold.net.core import Core
 from gullhold.net.counters import Counters
@@ -140,14 +139,13 @@
 
 def check(address, timeout_s):
     """Ask a gateway whether it serves, as clients do; the exit status."""
-    host, _, port = address.rpartition(":")
+    decoder = thrift.Decoder(thrift.CHECK_MOST)
     try:
-        with socket.create_connection((host, int(port)), timeout=timeout_s) as sock:
+        with socket.create_connection(host_port(address), timeout=timeout_s) as sock:
             sock.sendall(thrift.check_call(1))
-            buffer = Buffer(thrift.CHECK_MOST)
-            while not (good := thrift.check_answer(buffer)):
-                if good is False or not buffer.receive(sock):
-                    break
+            while (frame := next(decoder.frames(), None)) is None and decoder.buffer.receive(sock):
+                pass
+            good = frame is not None and thrift.is_good(frame)
     except (OSError, ValueError, Malformed) as fault:
         print(f"gullhold: {address}: {fault}", file=sys.stderr)
         return 1
--- a/gullhold/net/thrift.py
+++ b/gullhold/net/thrift.py
@@ -11,14 +11,14 @@
 FIXED = {BOOL: 1, 3: 1, 4: 8, 6: 2, I32: 4, 10: 8}   # type: bytes
 STRICT = 0x8001
 NESTED = 16   # structs within structs that are followed
-UNKNOWN_METHOD, INTERNAL_ERROR, PROTOCOL_ERROR = 1, 6, 7   # of application exceptions
+UNKNOWN_METHOD, PROTOCOL_ERROR = 1, 7   # of application exceptions
 HEAD = struct.Struct(">HBB")
 I16, I32S = struct.Struct(">h"), struct.Struct(">i")
 FIELD = struct.Struct(">Bh")
 
 
 class Call(NamedTuple):
-    """One message of a client; args is None where its struct lacks an argument that it needs."""
+    """One message of a client; its arguments by (field id, type)."""
 
     method: str
     kind: int
@@ -88,13 +88,17 @@
 
 
 class Decoder:
-    """Bytes of one connection in, calls out."""
+    """Bytes of one connection in, frames or calls out."""
 
     def __init__(self, most):
         self.buffer = Buffer(most)
 
     def calls(self):
         """The calls that are whole."""
+        return map(decode, self.frames())
+
+    def frames(self):
+        """The frames that are whole, without their lengths."""
         while (head := self.buffer.peek(4)) is not None:
             size = I32S.unpack(head)[0]
             if not HEAD.size <= size <= self.buffer.most - 4:
@@ -103,15 +107,15 @@
             if frame is None:
                 return
             self.buffer.drop(4 + size)
-            yield decode(frame)
+            yield frame
 
 
-def decode(frame):
-    """The call in one frame."""
+def read(frame, *kinds):
+    """The message in one frame, which must be of one of these kinds."""
     scan = Scan(frame)
     version, _, kind = HEAD.unpack(scan.take(HEAD.size))
-    if version != STRICT or kind not in (CALL, ONEWAY):
-        raise Malformed("not a strict binary call")
+    if version != STRICT or kind not in kinds:
+        raise Malformed("not a strict binary message of its kind")
     try:
         method = scan.string().decode()
     except UnicodeDecodeError:
@@ -120,6 +124,11 @@
     return Call(method, kind, seq, scan.fields())
 
 
+def decode(frame):
+    """The call in one frame."""
+    return read(frame, CALL, ONEWAY)
+
+
 def _string(data):
     return I32S.pack(len(data)) + data
 
@@ -170,14 +179,6 @@
 CHECK_MOST = 4096   # bytes of an answer to check, which has no body: far more than it needs
 
 
-def check_answer(buffer):
-    """Whether the answer to check that a buffer holds is good; None while it is not whole."""
-    size = I32S.unpack(buffer.peek(4))[0] if len(buffer) >= 4 else -1
-    frame = buffer.peek(size, 4) if size >= 0 else None
-    if frame is None:
-        return None
-    scan = Scan(frame)
-    _, _, kind = HEAD.unpack(scan.take(HEAD.size))
-    scan.string()
-    scan.number(I32S)
-    return kind == REPLY and scan.fields().get((0, STRUCT), {}).get((3, BOOL), False)
+def is_good(frame):
+    """Whether a frame holds an Answer whose `good` is true."""
+    return read(frame, REPLY, EXCEPTION).args.get((0, STRUCT), {}).get((3, BOOL), False)
