SIGHUP moves the coordinator's stream to the address in the new file

Ruled out: memory (15 of 80 MB) and descriptors (16 of 384).

Now the handler reads the file; Coordinator.move gives the thread the new address and wakes it from its read or its pause, and it follows on from its last event (the numbers carry on). A file that can't be used changes nothing. All else in the file holds until a restart, as before. Harm: none seen; a wrong address in the file costs the list its news until the next SIGHUP, and the log says so.

--- a/gullhold/net/coordinator.py
+++ b/gullhold/net/coordinator.py
@@ -3,6 +3,8 @@
 import json
 import socket
 import time
+from contextlib import suppress
+from threading import Event
 from zlib import crc32
 
 from loguru import logger
@@ -85,31 +87,49 @@
     """Follows the stream, for ever, and hands each event to the core."""
 
     def __init__(self, address, last, core, most, names):
-        self.address, self.last, self.core, self.most = host_port(address), last, core, most
-        self.names = names
+        self.last, self.core, self.most, self.names = last, core, most, names
+        self.address, self.sock, self.moved = address and host_port(address), None, Event()
+
+    def move(self, address):
+        """From any thread: follow the stream at this address, on from the last event."""
+        self.address = host_port(address)
+        self.moved.set()
+        sock = self.sock   # one that comes up after this line sees the new address itself
+        if sock is not None:
+            with suppress(OSError):
+                sock.shutdown(socket.SHUT_RDWR)
 
     def run(self):
-        """Connect, follow, and again whenever the stream ends, falls silent or makes no sense."""
+        """Connect, follow, and again whenever the stream ends, falls silent, makes no sense or moves."""
         wait = self.core.deal.connect_us / 1e6
         while True:
             began = time.monotonic()
+            self.moved.clear()
+            address = self.address   # read after the clearing: a move from here on sets it again
+            if address is None:
+                self.moved.wait()
+                continue
             try:
-                ending, text = self._follow(wait), ""
+                ending, text = self._follow(address, wait), ""
             except TimeoutError:
                 ending, text = Ending.SILENT, ""
             except Exception as error:   # the old list holds; the stream is followed anew
                 ending, text = endings.caught(error, connecting=True)
             self.core.counters.add(f"coordinator: {ending.value}")
             logger.warning("coordinator: {} {}; following on from event {}", ending.value, text, self.last)
-            time.sleep(max(0.0, wait - (time.monotonic() - began)))
-
-    def _follow(self, wait):
-        with socket.create_connection(self.address, timeout=wait or None) as sock:
-            sock.settimeout(SILENT_S)
-            sock.sendall(b"follow %d\n" % self.last)
-            stream = Follow(self.last, self.most)
-            while stream.buffer.receive(sock):
-                for event in stream.events():
-                    self.core.list_changed(*members(event, self.core.deal, self.names))
-                    self.last = event["index"]
-            return Ending.CLOSED
+            self.moved.wait(max(0.0, wait - (time.monotonic() - began)))
+
+    def _follow(self, address, wait):
+        with socket.create_connection(address, timeout=wait or None) as sock:
+            self.sock = sock
+            try:
+                sock.settimeout(SILENT_S)
+                sock.sendall(b"follow %d\n" % self.last)
+                stream = Follow(self.last, self.most)
+                while address == self.address and stream.buffer.receive(sock):
+                    for event in stream.events():
+                        self.core.list_changed(*members(event, self.core.deal, self.names))
+                        self.last = event["index"]
+                return Ending.CLOSED if address == self.address else Ending.RETIRED
+            finally:
+                self.sock = None
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -23,7 +23,7 @@
 
 STACK = 256 * 1024   # bytes of address space a thread; only what is touched counts as memory
 SWITCH_S = 0.001     # the longest that one thread keeps another waiting: under any network time that matters
-SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1)
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 LOG_S = 0.2          # at the end, for lines still unwritten
 OWN_SOCKETS = 16     # descriptors beside clients and links: standard ones, listener, coordinator, spare
 
@@ -66,11 +66,22 @@
         runs = {"door": Door(told["listen"], core, deal, most, told["sockets"]).run}
     except (OSError, ValueError) as fault:
         raise Unusable(f"can't listen on {told['listen']}: {fault}") from None
-    if told["coordinator"]:
-        runs["coordinator"] = Coordinator(told["coordinator"], told["last"], core, most, told["names"]).run
+    runs["coordinator"] = Coordinator(told["coordinator"], told["last"], core, most, told["names"]).run
     return core, runs
 
 
+def reload(path, coordinator):
+    """SIGHUP: the file was replaced. The coordinator's address is taken from it; all else holds until a
+    restart. A file that can't be used changes nothing."""
+    try:
+        with open(path, encoding="utf-8") as file:
+            address = json.load(file)["coordinator"]
+        coordinator.move(address)
+        logger.info("configuration read again: coordinator {}", address)
+    except (OSError, ValueError, KeyError, TypeError, AttributeError) as fault:
+        logger.error("configuration {} can't be used, the old one holds: {!r}", path, fault)
+
+
 def serve(path, report_s=0):
     """Serve until SIGTERM, with the counters logged so often (0: only at the end); the exit status."""
     # Only this thread takes signals: one that came to another while this one sleeps would wait unseen. And
@@ -105,6 +116,8 @@
 
     signal.signal(signal.SIGTERM, lambda *_: core.post(core.leave))
     signal.signal(signal.SIGINT, lambda *_: core.post(core.leave))
+    coordinator = runs["coordinator"].__self__
+    signal.signal(signal.SIGHUP, lambda *_: reload(path, coordinator))
     signal.signal(signal.SIGUSR1, lambda *_: Thread(target=report, daemon=True).start())
     gc.collect()
     gc.freeze()   # what lives to the end need not be looked through again
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -701,6 +701,28 @@
     assert log.count("taken: 1") == 1 and log.count("taken: 2") == 1 and "resident" in log
 
 
+def test_sighup_moves_to_the_coordinator_of_the_new_file_and_a_bad_file_changes_nothing(launch, tmp_path):
+    old, new, engine, port = Feed(), Feed(), Engine(), free_port()
+    told = config() | {"listen": f"127.0.0.1:{port}", "coordinator": old.address}
+    process = launch(told)
+    until(lambda: old.asked)
+    path = tmp_path / "config.json"
+    for text in ("{", "[]", '{"coordinator": "nowhere"}', '{"coordinator": 5}'):
+        path.write_text(text)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(0.05)
+    old.say(event(2, ("s-0", "127.0.0.1:1", "ready")))
+    path.write_text(json.dumps(told | {"coordinator": new.address}))
+    process.send_signal(signal.SIGHUP)
+    until(lambda: new.asked)
+    new.say(event(3, ("s-9", engine.address, "ready"), whole=True))
+    time.sleep(0.2)
+    client = Caller(("127.0.0.1", port))
+    seq = client.ask()
+    assert client.answer() == (seq, b"a\tb\tc\n") and process.poll() is None
+    assert old.asked == [b"follow 1\n"] and new.asked == [b"follow 2\n"]
+
+
 @pytest.mark.parametrize(
     "spoil",
     [
