Bad clients and bad peers: one send a link, lost answers noticed, clients bounded

Found, by a run that logged what was refused and what engines called an error, and the gaps between an engine's words: - core._link_for put all sends of an engine on one link: one spoilt answer ended them all. Now one send a link while descriptors last. - core._word took a second copy of an answer for a broken protocol and ended the link (at fault: the branch for 200). A page that we have is passed over; 503 and 504 after a page are not believed (it ran). - An answer that never came was waited for until the client timeout: a link that answers `alive` looked well. Notes come each period (none of some 3,000 gaps was over 1 s at a period of 0.55 s), so after two missed ones the link ends. An answer that stops short ends its link after the connection timeout. Whole arrays before spoilt bytes hold. - front: connections that never say anything whole stayed for 15 s (a thread and a descriptor each). The budget of further sends grows with commands answered, not with all that asked. - policy: one reset or error weighed three answers and kept an engine out for 8 s; now only a failed connection does. Ruled out: CPU (at most 0.48 of 0.85 s), memory (24 of 80 MB).

Also guards against: any engine that loses single answers, poison queries, slow-loris clients. Harm: an engine that sends no notes for 1.4 s though it promised them loses its sends; a command that fails on two engines by their fault is shed early; more connections to engines (at most 110 at once here).

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -20,6 +20,7 @@
 NOTES = {b"share": api.PROGRESS, b"short": api.SPILLS, b"held": api.WAITS}
 OUTCOMES = ("answered", "error", "full", "timed out", "no connection", "reset", "cancelled", "moot")
 ALIVE = b"alive"
+PAGES = (b"200", b"chunk")
 # From the protocol's page on planned restarts: new requests come for 0.6 s; the end comes 0.7 s after the
 # longest client timeout, of which 3 s at most count. Half of the rest is left for answers still in pipes.
 LAST_NEWS_US, LAST_ANSWER_US, FLUSH_US = 600_000, 3_000_000, 350_000
@@ -48,6 +49,7 @@
         self.leaving_at, self.settled_at, self.stopped, self.known = 0, 0, False, False
         self.sweep_us = max(deal.connect_us, 100_000)   # between looks at links: time to come up
         self.silent_us = deal.note_us + self.sweep_us    # a link with a send out says something by then
+        self.lost_us = deal.note_us and self.silent_us + deal.note_us   # two notes missed: none will come
 
     @staticmethod
     def clock():
@@ -203,11 +205,10 @@
 
     def execute(self, client, seq, request, at):
         """A client asks for a command."""
-        if seq in client.open:
+        if client.waiting.pop(seq, None) is None:   # taken back before we came to it
+            self.counters.add("interrupted")
             client.settled += 1
-            client.end(Ending.MALFORMED, f"request {seq} is open already")
             return
-        self.counters.add("taken")
         self.serial += 1
         cmd = Owed(self.serial, client, seq, request, at + request.limit_us)
         client.open[seq] = cmd
@@ -224,16 +225,6 @@
             self._ask(cmd, self.gateway.command, cmd.number, request.profile, request.tenant, request.key,
                       cmd.timeout_at, request.work_us, request.need_mb, request.group, request.repeat)
 
-    def unusable(self, client, seq, message):
-        """A client asked for something that can't be used; its answer is ready."""
-        self.counters.add("taken")
-        self.counters.add("unusable")
-        client.settled += 1
-        if seq in client.open:
-            client.end(Ending.MALFORMED, f"request {seq} is open already")
-        else:
-            client.put(message)
-
     def check(self, client, seq):
         """The front asks whether we serve: this answer comes from the thread that does."""
         client.put(thrift.answer("check", seq, good=self.known and not self.leaving_at))
@@ -248,9 +239,9 @@
     def client_ended(self, client, ending, text):
         """A client's connection can't be read any more; if only half closed, what is open is still owed."""
         self.counters.add(f"client connection: {ending.value}")
-        log = logger.warning if ending in endings.OURS else logger.debug
-        log("client connection {}: {}", ending.value, text)
-        if ending == Ending.CLOSED and client.open and not client.pipe.dead:
+        (logger.warning if client.open and ending in endings.OURS else logger.debug)(
+            "client connection {} {}; {} requests open", ending.value, text, len(client.open))
+        if ending in (Ending.CLOSED, Ending.IDLE) and client.open and not client.pipe.dead:
             client.half = True
             return
         for cmd in list(client.open.values()):
@@ -263,8 +254,8 @@
 
     def _answer(self, cmd, message):
         client = cmd.client
+        self._settle(cmd)   # first: its next request may come as soon as it has this answer
         client.put(message)
-        self._settle(cmd)
         if client.half and client.pipe.dead:   # no reader is left to tell that the client is gone
             for other in list(client.open.values()):
                 self._gone(other)
@@ -322,8 +313,13 @@
         if engine is None:
             return None
         fresh = [link for link in engine.links if link.takes(txn, self.deal.streams) and not self._idle(link)]
-        if fresh:
-            return max(fresh, key=lambda link: len(link.open))
+        # One send a link while descriptors last: guards against one spoilt answer, reset, or request that an
+        # engine can't read taking down what else is open there.
+        alone = [link for link in fresh if not link.open]
+        if alone:
+            return max(alone, key=lambda link: link.used_at)   # the others may fall idle
+        if fresh and len(self.links) >= self.links_most:
+            return min(fresh, key=lambda link: len(link.open))
         if len(self.links) >= self.links_most:
             for link in self.links:   # idle ones go, for the next that asks
                 if not link.open and not link.ended:
@@ -370,7 +366,7 @@
             if word in endings.WORDS:
                 link.given_up.discard(txn)
             return
-        facts = resp.fields(facts)
+        facts, send.heard_at = resp.fields(facts), self.now
         if word == b"status":
             if facts.get(b"note") in NOTES:
                 self.counters.add("notes")
@@ -378,12 +374,14 @@
                           NOTES[facts[b"note"]], float(facts.get(b"v", 0)))
         elif word == b"200" and send.leaving and int(facts.get(b"pages", 1)) > 1:
             return   # it ended just before our abort came, which gave its further pages up
-        elif word == b"200" and not send.pages:
+        elif send.pages and word in PAGES and int(facts.get(b"page", 0)) < len(send.pages):
+            self.counters.add("second copies")   # of a page that we have: passed over
+        elif word == b"200":
             send.told, send.total = self._told(facts), max(1, int(facts.get(b"pages", 1)))
             self._page(link, send, txn, body)
         elif word == b"chunk" and send.pages and int(facts.get(b"page", -1)) == len(send.pages):
             self._page(link, send, txn, body)
-        elif word in endings.WORDS and word != b"200":
+        elif word == b"500" or word in endings.WORDS and not send.pages:   # once begun, it ran
             send.told = self._told(facts)
             self._end_send(send, endings.WORDS[word])
         else:
@@ -510,7 +508,12 @@
                     link.shut(Ending.RETIRED)
                 elif self._idle(link):
                     link.shut(Ending.IDLE)
-            elif self.now - max(link.heard_at, min(s.sent_at for s in link.open.values())) >= self.silent_us:
+                continue
+            heard_at = min(send.heard_at for send in link.open.values())
+            if 0 < self.lost_us <= self.now - heard_at:
+                # Guards against an answer that never comes, or comes after its time, on a link that works.
+                self._drop_link(link, Ending.SILENT, "about a send")
+            elif self.now - max(link.heard_at, heard_at) >= self.silent_us:
                 # Guards against a machine that vanished or was cut off: its links stay open and silent.
                 if not link.asked_at:
                     link.asked_at = self.now
--- a/gullhold/net/front.py
+++ b/gullhold/net/front.py
@@ -2,20 +2,24 @@
 
 import re
 import socket
-import struct
 import time
-from math import isfinite
+from contextlib import suppress
 from threading import Thread
 from typing import NamedTuple
 from zlib import crc32
 
 from gullhold import interface as api
-from gullhold.net import endings, host_port, statement, thrift
-from gullhold.net.endings import Ending
+from gullhold.net import endings, host_port, patience, statement, thrift
+from gullhold.net.endings import Ending, Malformed
 from gullhold.net.pipe import Pipe
 
 OPEN_MOST = 32         # requests that a client has open on a connection, from the protocol
 RESULT_MOST = 48_000   # bytes of a result, from the protocol
+SAY_S = 2.0            # s in which a connection says something whole; the page wants an end within 3 s
+IDLE_S = 5.0           # s without a request; usual clients close their own after 4 s
+LOOK_US = 500_000      # us between looks at these two
+DISMISS_S = 0.01       # s between looks at one that is dismissed: the page's time for crossings is 50 ms
+FIGURE = re.compile(rb"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]{1,2})?\Z")
 TXN = re.compile(rb"[0-9a-fA-F]{16}\Z")
 UNIQUE = re.compile(rb"[!-+\--<>-~]*\Z")   # printable, without the signs that a list of fields is built of
 
@@ -41,17 +45,12 @@
     """A request that can't be used; the text is for the client."""
 
 
-def _figure(fields, name, needed=False):
-    word = fields.get(name)
-    if word is None and not needed:
-        return 0.0
-    try:
-        value = float(word)
-    except (TypeError, ValueError):
-        value = float("nan")
-    if not isfinite(value) or value < 0 and not needed:
+def _figure(fields, name, most, absent=b"0"):
+    """A figure of a request, no more than this deployment can do."""
+    word = fields.get(name, absent)
+    if not FIGURE.match(word) or float(word) > most:
         raise Refused(f"unusable {name.decode()}")
-    return value
+    return float(word)
 
 
 class Reader:
@@ -61,6 +60,11 @@
         self.deal = deal
         self.profiles = {profile.name.encode(): i for i, profile in enumerate(deal.profiles)}
         self.tenants = {tenant.name.encode(): i for i, tenant in enumerate(deal.tenants)}
+        # The most of a limit (ms; for clients that round), of work (ms on one core) and of memory (MB).
+        longest = max((profile.timeout_us for profile in deal.profiles), default=0)
+        self.limit_most = 2 * longest / 1000 or float("inf")
+        self.work_most = self.limit_most * max(deal.kind_cores, default=1.0)
+        self.memory_most = max(deal.kind_memory_mb, default=float("inf"))
 
     def request(self, fields, body):
         """The request, or Refused."""
@@ -74,25 +78,27 @@
         profile, unique = self.profiles[verb], fields.get(b"unique", b"")
         if not UNIQUE.match(unique) or not unique and self.deal.profiles[profile].effect == api.UNIQUED:
             raise Refused("unusable unique")   # without it no engine knows a repeat
-        limit, work = _figure(fields, b"limit", True), _figure(fields, b"cpu")
+        limit = _figure(fields, b"limit", self.limit_most, absent=b"")
+        work = _figure(fields, b"cpu", self.work_most)
         group, table = statement.group(body.decode("utf-8", "replace"))
         key = crc32(table.encode()) or 1 if table and self.deal.profiles[profile].ordered else 0
         return Request(txn, verb, body, unique, profile,
                        self.tenants.get(fields.get(b"team"), 0), key, int(limit * 1000), int(work * 1000),
-                       _figure(fields, b"memory"), group, b"second" in fields)
+                       _figure(fields, b"memory", self.memory_most), group, b"second" in fields)
 
 
 class Client:
     """One connection of a client. Its reader thread feeds the core; the core answers through its pipe."""
 
-    def __init__(self, sock, core, reader, most, idle_us):
+    def __init__(self, sock, core, reader, most):
         self.sock, self.core, self.reader = sock, core, reader
         self.decoder, self.pipe = thrift.Decoder(most), Pipe(OPEN_MOST * (RESULT_MOST + most), core.counters)
         self.open, self.taken, self.settled, self.half, self.ending = {}, 0, 0, False, None
+        self.seq, self.waiting, self.over = 0, {}, False   # last number; those that the core has yet to see
+        self.came_at = self.quiet_at = time.monotonic()   # it came; something last came or was open
+        self.cut, self.dismissed = False, False   # in the middle of a message; to end when nothing is open
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        if idle_us:   # a client that vanished must not hold its descriptor for ever
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVTIMEO,
-                            struct.pack("ll", *divmod(idle_us, 1_000_000)))
+        patience(sock, LOOK_US)
         self.pipe.attach(sock)
 
     def put(self, message):
@@ -103,64 +109,100 @@
 
     def end(self, ending, text):
         """End it from our side, now; the reader wakes and reports."""
-        self.ending = self.ending or (ending, text)
+        self.ending, self.over = self.ending or (ending, text), True
         self.pipe.finish(now=True)
 
+    def dismiss(self):
+        """End it for idleness; what has come, read or not, is still taken and answered."""
+        self.ending, self.over, self.dismissed = self.ending or (Ending.IDLE, ""), True, True
+        with suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RD)
+
     def run(self):
         """Read until the connection ends."""
         try:
             ending, text = self._read(), ""
         except Exception as error:   # a fault of ours ends this connection, not the program
             ending, text = endings.caught(error)
+        self.over = True
         self.core.post(self.core.client_ended, self, *(self.ending or (ending, text)))
 
     def _read(self):
         while True:
             try:
-                count = self.decoder.buffer.receive(self.sock)
+                if not self.decoder.buffer.receive(self.sock):
+                    if not self.dismissed or self.taken == self.settled:
+                        return Ending.CLOSED
+                    time.sleep(DISMISS_S)   # something came just then: more of it may come
             except BlockingIOError:
-                if self.taken == self.settled:
-                    return Ending.IDLE
-                continue
-            if not count:
-                return Ending.CLOSED
+                pass
             at = self.core.clock()
             for call in self.decoder.calls():
+                self.quiet_at = time.monotonic()
                 self._take(call, at)
+            # Guards against those who connect and say nothing, never come to an end, or take all back.
+            now, cut = time.monotonic(), len(self.decoder.buffer) > 0
+            if cut != self.cut or self.taken != self.settled:
+                self.cut, self.quiet_at = cut, now
+            told = self.pipe.queued > 0
+            since = self.quiet_at if told or self.taken != self.settled else self.came_at
+            if now - since > (IDLE_S if told and not cut else SAY_S):
+                if cut:
+                    raise Malformed("half a message")
+                if self.taken == self.settled:
+                    return Ending.IDLE
 
     def _take(self, call, at):
         core, args = self.core, call.args
         if call.method == "execute" and call.kind == thrift.CALL:
-            self.taken += 1
-            fields, body = args.get((1, thrift.MAP)), args.get((2, thrift.STRING))
-            if fields is None or body is None:
-                core.post(core.unusable, self, call.seq, thrift.exception(
-                    call.method, call.seq, thrift.PROTOCOL_ERROR, "missing argument"))
-                return
-            try:
-                request = self.reader.request(fields, body)
-            except Refused as why:
-                core.post(core.unusable, self, call.seq, thrift.fault(call.seq, str(why)))
-                return
-            core.post(core.execute, self, call.seq, request, at)
+            self._execute(call.seq, args.get((1, thrift.MAP)), args.get((2, thrift.STRING)), at)
         elif call.method == "interrupt":
-            core.post(core.interrupt, self, args.get((1, thrift.I32)))
+            seq = args.get((1, thrift.I32))
+            if self.waiting.pop(seq, None) is None:   # else the core passes it over when it comes to it
+                core.post(core.interrupt, self, seq)
         elif call.method == "check" and call.kind == thrift.CALL:
             core.post(core.check, self, call.seq)
         elif call.kind == thrift.CALL:
             core.counters.add("calls unknown")
             self.put(thrift.exception(call.method, call.seq, thrift.UNKNOWN_METHOD, "unknown method"))
 
+    def _execute(self, seq, fields, body, at):
+        """What can't be used is answered here and never reaches the core."""
+        core = self.core
+        if seq <= self.seq:
+            raise Malformed(f"request {seq} after {self.seq}")
+        self.seq = seq
+        core.counters.add("taken")
+        if self.taken - self.settled >= OPEN_MOST:
+            core.counters.add("over 32 open on a connection")
+            self.put(thrift.shed(seq, {}))
+            return
+        if fields is None or body is None:
+            core.counters.add("unusable")
+            self.put(thrift.exception("execute", seq, thrift.PROTOCOL_ERROR, "missing argument"))
+            return
+        try:
+            request = self.reader.request(fields, body)
+        except Refused as why:
+            core.counters.add("unusable")
+            self.put(thrift.fault(seq, str(why)))
+            time.sleep(core.deal.connect_us / 1e6)   # guards against those who ask the same again at once
+            return
+        self.taken += 1
+        self.waiting[seq] = True
+        core.post(core.execute, self, seq, request, at)
+
 
 class Door:
     """Takes connections, to the very end: what waits in the backlog counts as taken."""
 
-    def __init__(self, address, core, deal, most, backlog):
-        self.core, self.reader, self.most, self.idle_us = core, Reader(deal), most, deal.idle_us
+    def __init__(self, address, core, deal, most, clients_most):
+        self.core, self.reader, self.most, self.clients_most = core, Reader(deal), most, clients_most
+        self.clients = set()
         self.sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         self.sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         self.sock.bind(host_port(address))
-        self.sock.listen(backlog)
+        self.sock.listen(socket.SOMAXCONN)
 
     def run(self):
         """Accept for ever; where descriptors or threads are short, what waits is taken later."""
@@ -169,9 +211,12 @@
             try:
                 sock = waiting or self.sock.accept()[0]
                 waiting = sock
-                client = Client(sock, self.core, self.reader, self.most, self.idle_us)
-                Thread(target=client.run, daemon=True, name="client").start()
+                while not self._room():
+                    time.sleep(0.01)
+                client = Client(sock, self.core, self.reader, self.most)
+                Thread(target=self._serve, args=(client,), daemon=True, name="client").start()
                 waiting = None
+                self.clients.add(client)
                 self.core.counters.add("client connections")
             except (OSError, RuntimeError) as error:
                 if self.sock.fileno() < 0:
@@ -181,3 +226,25 @@
                     waiting = None
                 self.core.counters.add("accepts put off")
                 time.sleep(0.01)
+
+    def _serve(self, client):
+        try:
+            client.run()
+        finally:
+            self.clients.discard(client)
+
+    def _room(self):
+        """Whether one more may come; for it the one goes that has been idle the longest.
+
+        Guards against hundreds that say nothing, or ask once and stay, while others wait outside. One that we
+        have answered may be about to ask again: it goes only when it has been quiet for a while.
+        """
+        if len(self.clients) < self.clients_most:
+            return True
+        late = time.monotonic() - SAY_S
+        idle = [client for client in list(self.clients) if client.taken == client.settled and not client.over
+                and (not client.pipe.queued or client.quiet_at < late)]
+        if idle:
+            self.core.counters.add("idle ones closed for room")
+            min(idle, key=lambda client: (client.pipe.queued > 0, client.quiet_at)).dismiss()
+        return False
--- a/gullhold/net/links.py
+++ b/gullhold/net/links.py
@@ -4,8 +4,8 @@
 from contextlib import suppress
 from threading import Thread
 
-from gullhold.net import endings, host_port, resp
-from gullhold.net.endings import Ending
+from gullhold.net import endings, host_port, patience, resp
+from gullhold.net.endings import Ending, Malformed
 from gullhold.net.pipe import Pipe
 
 
@@ -20,7 +20,7 @@
     """One send on its link, from its fetch to its last page."""
 
     def __init__(self, command, number, at):
-        self.command, self.number, self.sent_at = command, number, at
+        self.command, self.number, self.sent_at, self.heard_at = command, number, at, at
         self.link, self.message, self.offset = None, b"", 0
         self.pages, self.total, self.size, self.leaving = [], 0, 0, False
         self.told = (0, 0, ())   # work in us, memory in MB, load report
@@ -82,9 +82,19 @@
             core.post(core.link_ended, self, self.ending or ending, text)
 
     def _read(self, sock):
+        cut = False
         while True:
-            if not self.decoder.buffer.receive(sock):
-                return Ending.CLOSED
-            arrays = list(self.decoder.arrays())
-            if arrays:
-                self.core.post(self.core.heard, self, arrays)
+            try:
+                if not self.decoder.buffer.receive(sock):
+                    return Ending.CLOSED
+            except BlockingIOError:
+                raise Malformed("an answer that stopped short") from None
+            arrays = []
+            try:
+                arrays.extend(self.decoder.arrays())
+            finally:   # what was whole before bytes that make no sense holds
+                if arrays:
+                    self.core.post(self.core.heard, self, arrays)
+            if self.decoder.cut != cut:   # in the middle of an answer the next bytes come soon, or never
+                cut = self.decoder.cut
+                patience(sock, self.core.deal.connect_us if cut else 0)
--- a/gullhold/net/resp.py
+++ b/gullhold/net/resp.py
@@ -13,6 +13,11 @@
     def __init__(self, most):
         self.buffer, self.words, self.missing = Buffer(most), [], 0
 
+    @property
+    def cut(self):
+        """Whether an array has begun and is not whole."""
+        return bool(self.missing or len(self.buffer))
+
     def arrays(self):
         """The arrays that are whole."""
         while True:
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -60,10 +60,11 @@
     deal = told["deal"]
     # The largest message: an even part of the memory for each connection, and always room for a result.
     most = max(told["memory"] // told["sockets"], 2 * RESULT_MOST)
+    clients = told["sockets"] // 2   # usual ones hold a third at most; others must find room too
     core = Core(policy.Gateway(told["seed"], deal, Core.clock()), deal, Counters(), most,
-                told["sockets"] - told["sockets"] // 3 - OWN_SOCKETS)   # clients hold a third at most
+                told["sockets"] - clients - OWN_SOCKETS)
     try:
-        runs = {"door": Door(told["listen"], core, deal, most, told["sockets"]).run}
+        runs = {"door": Door(told["listen"], core, deal, most, clients).run}
     except (OSError, ValueError) as fault:
         raise Unusable(f"can't listen on {told['listen']}: {fault}") from None
     runs["coordinator"] = Coordinator(told["coordinator"], told["last"], core, most, told["names"]).run
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -4,6 +4,7 @@
 with the time in whole microseconds. gullhold/interface.py defines the Agreement and the tuples that return.
 """
 
+from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
 from math import exp
@@ -103,9 +104,8 @@
         # Tenants, else profiles: weight, held commands (short, long), released, quota left, latency sums.
         least = min((t.share for t in agreement.tenants if t.share > 0), default=1.0)
         self.weight = [t.share / least for t in agreement.tenants] or [1.0] * n
-        self.held = [([], []) for _ in self.weight]
-        self.released, self.quota = [0.0] * len(self.weight), [0] * len(self.weight)
-        self.latency = [[0.0, 0.0, 0.0] for _ in self.weight]
+        self.held, self.released = [([], []) for _ in self.weight], [0.0] * len(self.weight)
+        self.quota, self.latency = [0] * len(self.weight), [[0.0, 0.0, 0.0] for _ in self.weight]
         self.allowance = sum(t.allowance for t in agreement.tenants)   # what our traffic is measured against
         self.traffic, self.traffic_at = self.allowance / agreement.managers * TRAFFIC_US / 1e6, now
         self.part, self.slow, self.total, self.armed = 1.0, 1.0, 0, None
@@ -141,7 +141,6 @@
     def command(self, now, ident, profile, tenant, key, timeout_at, work, need, dataset, repeat):
         """A command arrived."""
         self.now, self.out = now, []
-        self.taken.append(now)
         if ident in self.commands or profile >= len(self.deal.profiles):
             return [] if ident in self.commands else [(api.FAIL, ident)]
         kind, who = self.deal.profiles[profile], tenant if self.deal.tenants else profile
@@ -150,7 +149,7 @@
         cmd = Command(ident, profile, kind, who if who < len(self.weight) else 0, key, timeout_at, need,
                       dataset, self.order)
         work = work * self.bias[profile] if work > 0 else self.usual[profile]
-        cmd.work = work or FIRST[1] * kind.target_us * kind.threads
+        cmd.work, cmd.taken_at = work or FIRST[1] * kind.target_us * kind.threads, now
         self.usual[profile] += EASE * (cmd.work - self.usual[profile]) if self.usual[profile] else cmd.work
         self.prior = min(usual for usual in self.usual if usual)
         allowed = kind.target_us + kind.target_stretch * cmd.work / kind.threads
@@ -184,7 +183,7 @@
         return []
 
     def ended(self, now, ident, send, outcome, closed, latency, cost, need, report):
-        """A send ended."""
+        """A send ended. An error on a second engine too is the command's fault, as what bad clients ask."""
         self.now, self.out, cmd = now, [], self.commands.get(ident)
         if cmd is None or send != cmd.sends - 1 or cmd.state not in (OUT, STREAMING, LEAVING, ORPHAN):
             return self.out
@@ -196,7 +195,7 @@
             self.key_rest[cmd.key] = now + self.deal.key_rest_us
         if closed or outcome == api.ANSWERED or state in (ORPHAN, STREAMING):
             self._move(cmd, ENDED)
-        elif now >= cmd.last_at or not self._may_resend(cmd):
+        elif now >= cmd.last_at or not self._may_resend(cmd) or outcome == api.ERROR and be != cmd.ran_engine:
             self._finish(cmd)
         else:
             self._move(cmd, HELD)
@@ -208,6 +207,7 @@
         if cmd and cmd.state == OUT and self.deal.may_cancel:
             self.out.append((api.CANCEL, ident, cmd.sends - 1))
         if cmd and cmd.state != ORPHAN:
+            self.traffic = max(0.0, self.traffic - 1)   # hundreds taken back at once are no traffic
             self._move(cmd, ENDED if cmd.state in (HELD, BEHIND) else ORPHAN)
         return self._release()
 
@@ -236,7 +236,7 @@
         """One timer at the next moment that matters; while commands are held, soon."""
         while self.due and self.due[0][2].state == ENDED:
             heappop(self.due)
-        soon = [self.now + TICK_US] if any(short or long for short, long in self.held) else []
+        soon = [self.now + TICK_US] * any(map(any, self.held))
         at = min(soon + [look[0] for look in self.due[:1]], default=0)
         if at and (self.armed is None or at < self.armed - TICK_US // 2 or self.armed <= self.now):
             self.armed = max(at, self.now + 1)
@@ -433,7 +433,7 @@
         """What an outcome tells about its engine and its profile."""
         p, work = cmd.profile, cost or cmd.work
         if outcome in (api.ERROR, api.RESET, api.NO_CONNECTION, api.ANSWERED):
-            step, bad = (EASE, 0) if outcome == api.ANSWERED else (SICK[3], 1)
+            step, bad = SICK[3] if outcome == api.NO_CONNECTION else EASE, outcome != api.ANSWERED
             left, self.failed_at[be] = self.failed[be] * self._fresh(self.failed_at[be]), self.now
             self.failed[be] = left + step * (bad - left)
             if bad and self.ready:
@@ -449,6 +449,7 @@
             self.spread[p] = mean + off * step, wide + (abs(off) - wide) * step
         pace = max(latency * cmd.threads / work, 0.01)   # of a send cut off too: a jam is not to be hidden
         if outcome == api.ANSWERED:
+            insort(self.taken, cmd.taken_at)   # only these widen the budget: not what bad clients ask for
             self.bias[p] += EASE * (min(max(work / cmd.work, 0.2), 5.0) - 1.0) * self.bias[p]
             self.work_done[be] += work
             self.best[p] = min(pace, self.best[p] + EASE / 10 * (pace - self.best[p]))
@@ -509,9 +510,8 @@
     def _send(self, cmd, be):
         deal, (mean, wide) = self.deal, self.spread[cmd.profile]
         memory = deal.kind_memory_mb[self.kind[be]] if self.kind[be] < len(deal.kind_memory_mb) else 0.0
-        need = cmd.need * (mean + NEED[2] * wide)
         if deal.heeds_grants or deal.heeds_priority:
-            grant = min(need, deal.most_grant * memory or need)
+            grant = min(cmd.need * (mean + NEED[2] * wide), deal.most_grant * memory or float("inf"))
             self.out.append((api.TERMS, cmd.id, grant, 3 if cmd.short else 1))
         if cmd.sends:
             self.extras.append(self.now)
