Sends share a link only at engines that close connections after an answer

Ruled out: idle time (10 ms to 2 s), age (0.05 to 17 s), our aborts, draining engines. At fault: _link_for kept links apart everywhere.

Now an engine that closed a link in good order has its sends share one, until as many links broke there. Harm: there a spoilt answer takes its neighbours along, as before.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -21,6 +21,7 @@
 OUTCOMES = ("answered", "error", "full", "timed out", "no connection", "reset", "cancelled", "moot")
 ALIVE = b"alive"
 PAGES = (b"200", b"chunk")
+SPOILT = frozenset((Ending.MALFORMED, Ending.RESET, Ending.SILENT))   # may take other sends along
 # From the protocol's page on planned restarts: new requests come for 0.6 s; the end comes 0.7 s after the
 # longest client timeout, of which 3 s at most count. Half of the rest is left for answers still in pipes.
 LAST_NEWS_US, LAST_ANSWER_US, FLUSH_US = 600_000, 3_000_000, 350_000
@@ -314,8 +315,11 @@
             return None
         fresh = [link for link in engine.links if link.takes(txn, self.deal.streams) and not self._idle(link)]
         # One send a link while descriptors last: guards against one spoilt answer, reset, or request that an
-        # engine can't read taking down what else is open there.
+        # engine can't read taking down what else is open there. But some engines close a connection when they
+        # have answered and nothing else is open on it, be pages or a fetch still to come: there sends share.
         alone = [link for link in fresh if not link.open]
+        if fresh and engine.closed > 0:
+            return max(fresh, key=lambda link: len(link.open))
         if alone:
             return max(alone, key=lambda link: link.used_at)   # the others may fall idle
         if fresh and len(self.links) >= self.links_most:
@@ -480,6 +484,9 @@
         self.links.discard(link)
         link.engine.links.remove(link)
         self.counters.add(f"link: {ending.value}")
+        cut = ending == Ending.CLOSED and link.decoder.cut
+        link.engine.closed = max(0, link.engine.closed + (
+            -1 if cut or ending in SPOILT else ending == Ending.CLOSED))
         routine = ending in (Ending.IDLE, Ending.RETIRED) or ending == Ending.CLOSED and not link.open
         (logger.debug if routine else logger.warning)(
             "link to {} {} {}; {} sends open", link.engine.address, ending.value, text, len(link.open))
--- a/gullhold/net/links.py
+++ b/gullhold/net/links.py
@@ -14,6 +14,7 @@
 
     def __init__(self, ident, address):
         self.id, self.address, self.links, self.state = ident, address, [], 0
+        self.closed = 0   # links that it closed in good order, less those that broke
 
 
 class Exchange:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1009,3 +1009,23 @@
     inside.dismiss()
     assert sorted(client.answer() for _ in seqs) == [(seq, b"a\tb\tc\n") for seq in seqs]
     assert client.answer() is None
+
+
+def test_sends_share_a_link_only_at_an_engine_that_closes_connections_after_an_answer(start):
+    def closes(conn, verb, *words):
+        ok()(conn, verb, *words)
+        conn.shutdown(socket.SHUT_WR)
+
+    apart, together = Engine(endless), Engine(closes, endless)
+    gateway, client = start(apart)
+    for _ in range(2):
+        client.ask("once")
+    until(lambda: gateway.count("links up") == 2)
+    gateway, client = start(together)
+    client.ask("once")
+    client.answer()
+    until(lambda: gateway.count("link: closed by the other side") == 1)
+    for _ in range(3):
+        client.ask("once")
+    until(lambda: len(together.words(b"fetch")) == 4)
+    assert gateway.count("links up") == 2
