Engines that are gone are forgotten: their records, names and places in the module's arrays

The core drops an engine that is gone and has no link left; a name goes with the event that says so; the module gives the place of an engine that is gone, past its cold time, and that no live command refers to (its dedup group would be lost otherwise) to the next new one. Harm: an engine that comes back under its old id starts unknown.

--- a/gullhold/net/coordinator.py
+++ b/gullhold/net/coordinator.py
@@ -35,6 +35,10 @@
             self.taken.add(number)
         return self.numbers[name]
 
+    def forget(self, name):
+        """It is gone."""
+        self.taken.discard(self.numbers.pop(name, None))
+
 
 def members(event, deal, names):
     """(entries for the module, addresses by engine, whether the list is whole) of one event."""
@@ -50,6 +54,8 @@
                             int(member.get("up_since_ms") or 0) * 1000))
             if member.get("host_port"):
                 addresses[ident] = "{}:{}".format(*host_port(member["host_port"]))
+            if member["phase"] == "gone":
+                names.forget(member["id"])
         return entries, addresses, bool(change.get("complete"))
     except (KeyError, TypeError, ValueError, AttributeError) as fault:
         raise Malformed(f"an event of another form: {fault!r}") from None
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -300,14 +300,20 @@
                     link.retired = True
         states = {entry[0]: entry[4] for entry in entries}
         self.counters.add("list changes")
-        for engine in self.engines.values():
+        for engine in list(self.engines.values()):
             engine.state = states.get(engine.id, api.GONE if whole else engine.state)
             if engine.state != api.READY:   # what has not begun to go out must not go any more
                 for link in list(engine.links):
                     for send in [send for send in link.open.values() if link.pipe.withdraw(send.message)]:
                         self.after.append((self._end_send, send, api.MOOT))
+            self._part(engine)
         self._ask(None, self.gateway.engines, entries, whole)
 
+    def _part(self, engine):
+        """What is gone and has no link left is forgotten."""
+        if engine.state == api.GONE and not engine.links:
+            self.engines.pop(engine.id, None)
+
     def _link_for(self, ident, txn):
         """A link that can take a send of this id, a new one if need be; None where there can be none."""
         engine = self.engines.get(ident)
@@ -483,6 +489,7 @@
         link.ended = True
         self.links.discard(link)
         link.engine.links.remove(link)
+        self._part(link.engine)
         self.counters.add(f"link: {ending.value}")
         cut = ending == Ending.CLOSED and link.decoder.cut
         link.engine.closed = max(0, link.engine.closed + (
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -79,9 +79,8 @@
         gamma = (low + high) / 2
         over = (1 - exp(-gamma * (p2 - p0))) / (1 - exp(-gamma * (p1 - p0))) > far2 / far1
         low, high = (gamma, high) if over else (low, gamma)
-    base, step = exp(-gamma * p0), (p2 - p0) / 64
-    b = far1 / (base - exp(-gamma * p1))
-    points = [p0 + i * step for i in range(65)]
+    b = far1 / ((base := exp(-gamma * p0)) - exp(-gamma * p1))
+    points = [p0 + i * (p2 - p0) / 64 for i in range(65)]
     rates = [p / (p0 + b * p0 * (base - exp(-gamma * p)) * (p - 1)) for p in points]
     return next((points[i] for i in range(64) if rates[i + 1] < rates[i]), None)
 
@@ -110,19 +109,18 @@
         self.traffic, self.traffic_at = self.allowance / agreement.managers * TRAFFIC_US / 1e6, now
         self.part, self.slow, self.total, self.armed = 1.0, 1.0, 0, None
         self.zeta, self.rose, self.turn, self.prior = QUOTA[1], False, 0, 1.0   # prior: least usual work
-        self.index, self.ids, self.ready, self.near = {}, [], [], []
+        self.index, self.ids, self.free, self.ready, self.near = {}, [], [], [], []
         vars(self).update({name: [] for name in ENGINE})   # parallel arrays under the dense index
 
     def engines(self, now, entries, full):
         """The list of engines changed; full: engines that are not in it are gone."""
         self.now, self.out, seen = now, [], set()
         for ident, place, _, kind, state, cell, born in entries:
-            be = self.index.setdefault(ident, len(self.ids))
-            seen.add(be)
-            if be == len(self.ids):
-                self.ids.append(ident)
-                for name, first in ENGINE.items():
-                    getattr(self, name).append(first() if callable(first) else first)
+            if ident not in self.index:
+                be = self.index[ident] = self.free.pop() if self.free else len(self.ids)
+                for name, first in (*ENGINE.items(), ("ids", ident)):   # a new place, or one given up
+                    getattr(self, name)[be:be + 1] = [first() if callable(first) else first]
+            seen.add(be := self.index[ident])
             if born > self.born[be]:                          # a restart: whatever we knew is void
                 self.seen[be] = self.seen_slow[be] = self.failed[be] = self.full_until[be] = 0
                 self.cold_sent[be].clear()
@@ -131,6 +129,9 @@
             self.cores[be] = cores[kind] if kind < len(cores) else max(cores, default=1.0)
         for be in self.index.values() if full else ():
             self.state[be] = self.state[be] if be in seen else api.GONE
+        used = {be for cmd in self.commands.values() for be in (cmd.engine, cmd.ran_engine)}
+        self.free += [self.index.pop(ident) for ident, be in list(self.index.items()) if be not in used and
+                      self.state[be] == api.GONE and now > self.born[be] + self.deal.cold_us]
         self.ready = [be for be in self.index.values() if self.state[be] == api.READY]
         self.near = [be for be in self.ready if self.place[be] == self.deal.location]
         self.ranks, self.ready_cores = {}, sum(self.cores[be] for be in self.ready)
@@ -266,13 +267,13 @@
 
     def _hold(self, cmd):
         """Into its tenant's held commands, those with the most benefit for their work first."""
-        start_by, cmd.entry = cmd.target_at - self._run_us(cmd), cmd.entry + 1
-        late = self.now > start_by
+        run, cmd.entry = self._run_us(cmd), cmd.entry + 1
+        late = self.now > cmd.target_at - run
         benefit = cmd.kind.benefit * (cmd.kind.late_benefit if late else 1.0)
         if cmd.ran_engine >= 0 and cmd.kind.effect == api.UNIQUED:   # it must not wait past its dedup window
             heappush(self.due, (cmd.ran_at + cmd.kind.dedup_us - MARGIN_US, cmd.order, cmd, cmd.sends))
-        last = cmd.last_at - self._run_us(cmd) if late else start_by
-        heappush(self.due, (max(self.now, int(last)) + 1, cmd.order, cmd, cmd.sends))
+        last = int((cmd.last_at if late else cmd.target_at) - run)
+        heappush(self.due, (max(self.now, last) + 1, cmd.order, cmd, cmd.sends))
         heappush(self.held[cmd.tenant][0 if cmd.short else 1],
                  (-benefit / max(cmd.work, 1.0), cmd.order, cmd.entry, cmd))
 
@@ -427,8 +428,7 @@
     def _weigh(self, cmd, be, home):
         """Our threads there against size and pace; a load that holds its data set comes last."""
         stuck = (cmd.kind.loads or cmd.kind.stands_still) and self.now < self.closed.get((be, cmd.dataset), 0)
-        threads = self.threads[be] + cmd.threads * (WARM if home else 1)   # less reading, not for the others
-        return stuck, threads * self._slow(be) / self.cores[be]
+        return stuck, (self.threads[be] + cmd.threads * WARM ** home) * self._slow(be) / self.cores[be]
 
     def _account(self, cmd, be, outcome, latency, cost, need):
         """What an outcome tells about its engine and its profile."""
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -392,3 +392,17 @@
     while use(api.RESET, 100):
         world.now += MS
     assert 0.15 < world.gateway.failed[0] < 0.5 and not use(api.ANSWERED, 100)
+
+
+def test_engines_that_are_gone_leave_nothing_behind():
+    world = Driver(agreement(profile(effect=api.UNIQUED, dedup_scope=api.LOCATION)))
+    world.now += 20_000 * MS   # no engine is cold any more
+    for ident in range(0, 900, 3):
+        world.engines(*[(ident + i, 0, 0, api.READY, 0, 0) for i in range(3)], full=True)
+        one, other = world.command(), world.command()
+        world.end(one, api.ANSWERED)
+        world.end(other, api.RESET)   # what may have run holds its engine's location
+        while world.commands[other]["out"]:
+            world.end(other, api.ANSWERED)
+    assert len(world.gateway.ids) <= 12 and len(world.gateway.index) <= 6
+    assert len(world.gateway.state) == len(world.gateway.ids)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -217,7 +217,7 @@
         path = tmp_path / "config.json"
         path.write_text(json.dumps(told))
         self.core, runs = service.assemble(service.load(path))
-        self.door = runs["door"].__self__
+        self.door, self.coordinator = runs["door"].__self__, runs["coordinator"].__self__
         self.address = self.door.sock.getsockname()
         for run in (*runs.values(), self._run):
             Thread(target=run, daemon=True).start()
@@ -1029,3 +1029,17 @@
         client.ask("once")
     until(lambda: len(together.words(b"fetch")) == 4)
     assert gateway.count("links up") == 2
+
+
+def test_engines_that_are_gone_are_forgotten_with_their_names_and_links(tmp_path):
+    feed, engines = Feed(), [Engine() for _ in range(8)]
+    gateway = Gateway(tmp_path, config() | {"coordinator": feed.address})
+    client = Caller(gateway.address)
+    for i, engine in enumerate(engines):   # each at its own address, then gone
+        feed.say(event(2 * i + 2, (f"s-{i}", engine.address, "ready")))
+        seq = client.ask()
+        assert client.answer() == (seq, b"a\tb\tc\n")
+        feed.say(event(2 * i + 3, (f"s-{i}", engine.address, "gone")))
+    until(lambda: not gateway.core.engines and not gateway.core.links)
+    assert not gateway.core.gateway.index and not gateway.coordinator.names.numbers
+    gateway.end()
