--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -33,7 +33,7 @@
 QUOTA = (1.0, 2.0, 8.0)   # least, first and most commands a round of the smallest tenant (zeta)
 LIMITS = (0.5, 1.0)       # unfairness and latency variability: half the mean count, a spread like the mean
 NEED = (1.1, 0.2, 2.0)    # first mean of need over estimate, its spread; spreads granted: spilling costs more
-SICK = (0.15, 2, 0.3, 0.3)  # share of failures, over times the median, that is sick; part for long ones; step
+SICK = (0.15, 2, 0.7, 0.3)  # share of failures, over times the median, that is sick; part for long ones; step
 EASE = 0.1                # weight of the newest answer in moving figures: about ten count
 RUNS = (0.6, 1.8, 3.0)    # usual runs between looks at a send; run, or left by notes, of a bad plan
 KILLS = (0.4, 4.0)        # further sends for bad plans that each send earns, and the most saved up
@@ -434,7 +434,7 @@
         """What an outcome tells about its engine and its profile."""
         p, work = cmd.profile, cost or cmd.work
         if outcome in (api.ERROR, api.RESET, api.NO_CONNECTION, api.ANSWERED):
-            bad, step = outcome != api.ANSWERED, EASE if outcome in (api.ANSWERED, api.RESET) else SICK[3]
+            bad, step = outcome != api.ANSWERED, SICK[3] if outcome == api.NO_CONNECTION else EASE
             left, self.failed_at[be] = self.failed[be] * self._fresh(self.failed_at[be]), self.now
             self.failed[be] = left + step * (bad - left)
             if bad and self.ready:
