Bounds of engines once for each release; an interrupt makes room at once; a statement is read to its table

At fault: _fits worked out each engine's bound anew for every held command it was tried for; the reader counted requests as open whose interrupts waited for the core; group() read on after the table that decides. The memo holds for one _release, in which nothing that a bound hangs on changes.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -268,6 +268,7 @@
         """Nothing is owed any more."""
         cmd.client.open.pop(cmd.seq, None)
         cmd.client.settled += 1
+        cmd.client.taken_back.discard(cmd.seq)
         cmd.client, self.settled_at = None, self.now
         if not cmd.send:
             self._forget(cmd)
--- a/gullhold/net/front.py
+++ b/gullhold/net/front.py
@@ -95,6 +95,7 @@
         self.sock, self.core, self.reader = sock, core, reader
         self.decoder, self.pipe = thrift.Decoder(most), Pipe(OPEN_MOST * (RESULT_MOST + most), core.counters)
         self.open, self.taken, self.settled, self.half, self.ending = {}, 0, 0, False, None
+        self.taken_back = set()   # numbers of open requests whose interrupts wait for the core
         self.seq, self.waiting, self.over = 0, {}, False   # last number; those that the core has yet to see
         self.came_at = self.quiet_at = time.monotonic()   # it came; something last came or was open
         self.cut, self.dismissed = False, False   # in the middle of a message; to end when nothing is open
@@ -160,6 +161,8 @@
         elif call.method == "interrupt":
             seq = args.get((1, thrift.I32))
             if self.waiting.pop(seq, None) is None:   # else the core passes it over when it comes to it
+                if seq in self.open:
+                    self.taken_back.add(seq)   # no longer open, though the core has yet to settle it
                 core.post(core.interrupt, self, seq)
         elif call.method == "check" and call.kind == thrift.CALL:
             core.post(core.check, self, call.seq)
@@ -174,7 +177,7 @@
             raise Malformed(f"request {seq} after {self.seq}")
         self.seq = seq
         core.counters.add("taken")
-        if self.taken - self.settled >= OPEN_MOST:
+        if self.taken - self.settled - len(self.taken_back) >= OPEN_MOST:
             core.counters.add("over 32 open on a connection")
             self.put(thrift.shed(seq, {}))
             return
--- a/gullhold/net/statement.py
+++ b/gullhold/net/statement.py
@@ -18,7 +18,7 @@
 
     A name where a table must stand is sure; another one with such a schema may be a column of an alias.
     """
-    sure, other, expected, listing = None, None, False, False
+    other, expected, listing = None, False, False
     for token in TOKEN.finditer(text):
         if token.lastgroup == "skip":
             continue
@@ -33,6 +33,8 @@
         parts = [part.strip('"`[]') for part in PART.findall(token.group())]
         if len(parts) > 1 and parts[-2].lower() != BESIDE and (found := GROUP.search(parts[-2])):
             hit = int(found.group(1)), ".".join(parts)
-            sure, other = sure or expected and hit, other or hit
+            if expected:
+                return hit
+            other = other or hit
         expected = False
-    return sure or other or (0, "")
+    return other or (0, "")
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -393,10 +393,10 @@
 
     def _fits(self, cmd, be):
         """Room, the rules, and health: failing far more than the fleet's median, none till that fades."""
-        limit = self._limit(be) * (1.0 if cmd.short else LONG_PART)
+        cap = (self.caps.get(be) or self.caps.setdefault(be, self._limit(be))) * LONG_PART ** (not cmd.short)
         most = SICK[0] * (1 if cmd.short and cmd.kind.effect == api.REPLAYABLE else SICK[2])
         return self.now >= self.full_until[be] and (
-            not self.running[be] or self.threads[be] + cmd.threads <= limit) and self._allowed(cmd, be) and (
+            not self.running[be] or self.threads[be] + cmd.threads <= cap) and self._allowed(cmd, be) and (
             self.failed[be] * self._fresh(self.failed_at[be]) <= most + SICK[1] * self.usual_failed)
 
     def _choose(self, cmd):
@@ -469,7 +469,7 @@
 
     def _release(self):
         """Send held commands while an engine has room for one of the tenant in turn."""
-        tenants = range(len(self.weight))
+        self.caps, tenants = {}, range(len(self.weight))   # engines' bounds: none changes while we send
         while True:   # those without quota left come last: they only use room that the others can't
             order = sorted(tenants, key=lambda t: (self.quota[t] < 1, (t - self.turn) % len(tenants)))
             went = next((t for t in order if self._release_one(t)), None)
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1059,3 +1059,15 @@
         seq = caller.ask()
         assert caller.answer() == (seq, b"a\tb\tc\n")
     assert all(caller.answer() is None for caller in old[:4])
+
+
+def test_a_request_that_was_taken_back_makes_room_at_once_for_the_next(start):
+    gateway, client = start(Engine(endless))
+    seqs = [client.ask() for _ in range(32)]
+    until(lambda: len(client_open(gateway)) == 32)
+    gateway.core.post(time.sleep, 0.3)   # the core is behind
+    for seq in seqs[:5]:
+        client.interrupt(seq)
+        client.ask()
+    until(lambda: len(client_open(gateway)) == 32 and gateway.count("interrupted") == 5)
+    assert not gateway.count("over 32 open on a connection")
