--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -6,7 +6,7 @@
 import time
 from collections import deque
 from heapq import heappop, heappush
-from math import ceil, isfinite
+from math import ceil, isfinite, isqrt
 from queue import Empty, SimpleQueue
 
 from loguru import logger
@@ -50,6 +50,7 @@
         self.owed, self.txns, self.engines, self.links = {}, {}, {}, set()
         self.leaving_at, self.settled_at, self.stopped, self.known = 0, 0, False, False
         self.sweep_us = max(deal.connect_us, 100_000)   # between looks at links: time to come up
+        self.share = max(2, isqrt(deal.streams))   # sends on a shared link: few links, few lost with one
         self.silent_us = deal.note_us + self.sweep_us    # a link with a send out says something by then
         self.lost_us = deal.note_us and self.silent_us + deal.note_us   # two notes missed: none will come
 
@@ -326,8 +327,9 @@
         # engine can't read taking down what else is open there. But some engines close a connection when they
         # have answered and nothing else is open on it, be pages or a fetch still to come: there sends share.
         alone = [link for link in fresh if not link.open]
-        if fresh and engine.closed > 0:
-            return max(fresh, key=lambda link: len(link.open))
+        few = [link for link in fresh if len(link.open) < self.share]
+        if few and engine.closed > 0:
+            return max(few, key=lambda link: len(link.open))
         if alone:
             return max(alone, key=lambda link: link.used_at)   # the others may fall idle
         if fresh and len(self.links) >= self.links_most:
