A client that ends at once holds no room for good; one choice of link instead of three

Door.run put a client among the open ones after its thread had started: one that ended before that stayed in the set for ever, was passed over as over when room was made, and took from the limit until the gateway ended.

core._link_for chose in three places: one condition now serves lone and shared links, and the limit is looked at once. Only the tie between equally full shared links changes: the one used last.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -326,15 +326,12 @@
         # One send a link while descriptors last: guards against one spoilt answer, reset, or request that an
         # engine can't read taking down what else is open there. But some engines close a connection when they
         # have answered and nothing else is open on it, be pages or a fetch still to come: there sends share.
-        alone = [link for link in fresh if not link.open]
-        few = [link for link in fresh if len(link.open) < self.share]
-        if few and engine.closed > 0:
-            return max(few, key=lambda link: len(link.open))
-        if alone:
-            return max(alone, key=lambda link: link.used_at)   # the others may fall idle
-        if fresh and len(self.links) >= self.links_most:
-            return min(fresh, key=lambda link: len(link.open))
+        few = [link for link in fresh if len(link.open) < (self.share if engine.closed else 1)]
+        if few:   # the fullest; of idle ones the one used last, so that the others may be closed
+            return max(few, key=lambda link: (len(link.open), link.used_at))
         if len(self.links) >= self.links_most:
+            if fresh:
+                return min(fresh, key=lambda link: len(link.open))
             for link in self.links:   # idle ones go, for the next that asks
                 if not link.open and not link.ended:
                     link.shut(Ending.RETIRED)
--- a/gullhold/net/front.py
+++ b/gullhold/net/front.py
@@ -219,9 +219,13 @@
                     self.core.counters.add("accepts put off")
                     time.sleep(DISMISS_S)
                 client = Client(sock, self.core, self.reader, self.most)
-                Thread(target=self._serve, args=(client,), daemon=True, name="client").start()
+                self.clients.add(client)   # before its thread runs, which may end at once
+                try:
+                    Thread(target=self._serve, args=(client,), daemon=True, name="client").start()
+                except RuntimeError:
+                    self.clients.discard(client)
+                    raise
                 waiting = None
-                self.clients.add(client)
                 self.core.counters.add("client connections")
             except (OSError, RuntimeError) as error:
                 if self.sock.fileno() < 0:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -1071,3 +1071,17 @@
         client.ask()
     until(lambda: len(client_open(gateway)) == 32 and gateway.count("interrupted") == 5)
     assert not gateway.count("over 32 open on a connection")
+
+
+def test_a_client_that_ends_before_the_door_goes_on_holds_no_room(start, monkeypatch):
+    class Inline(Thread):
+        def start(self):
+            self.run()   # it is over before start() returns
+
+    gateway, client = start(Engine())
+    until(lambda: gateway.count("client connections") == 1)
+    monkeypatch.setattr(front, "Thread", Inline)
+    for _ in range(3):
+        Caller(gateway.address).sock.close()
+    until(lambda: gateway.count("client connections") == 4)
+    assert len(gateway.door.clients) == 1
