Signals are bytes that the main thread reads: none waits for the next report any more

A manager served at 11.667, its list's service closed the old address at 14.163, 31 times "refused" followed, and "configuration read again" stood at 21.668: 10.00 s after the start. In every log looked at SIGHUP and SIGTERM took effect at the start plus a multiple of 10 s, the period of `--report`; only 8 to 18 managers ended by themselves when told to.

Cause: service.serve, `while not done.wait(report_s or None)`. Python runs a handler only when the main thread comes back from its wait. A signal that another thread takes, or a wait that is led elsewhere as under the fleet bench, does not bring it back. Ruled out: the coordinator's follower (Event and socket are woken by other threads, its silence is bounded at 2 s), the core (woken through its queue), the log's end (bounded at 0.2 s), pauses of clients' readers (0.5 s at most, own no signal).

Change: gullhold/net/signals.py. The interpreter's own handler writes the number into a pipe, whichever thread it runs in; the main thread selects on that pipe until the next report and acts on the numbers as ordinary code. The core's end is a byte in the same pipe. Counters on SIGUSR1 need no thread of their own now. gullhold/net/reread.py: a list's service that refuses, closes or falls silent makes the gateway look whether its file was replaced, and take the address from it: a file may be replaced in a manager's first second, when no SIGHUP is sent. It reads nothing where the file's mark is as before.

Tests: all signals go to a thread that sleeps, so no wait of the main thread is interrupted (waits in vain on the code before); a coordinator that closes and refuses, its file first bad, then good, and no signal.

--- a/gullhold/net/coordinator.py
+++ b/gullhold/net/coordinator.py
@@ -95,6 +95,7 @@
     def __init__(self, address, last, core, most, names):
         self.last, self.core, self.most, self.names = last, core, most, names
         self.address, self.sock, self.moved = address and host_port(address), None, Event()
+        self.lost = lambda: None   # called from this thread whenever the stream has ended: a look for a move
 
     def move(self, address):
         """From any thread: follow the stream at this address, on from the last event."""
@@ -123,6 +124,7 @@
                 ending, text = endings.caught(error, connecting=True)
             self.core.counters.add(f"coordinator: {ending.value}")
             logger.warning("coordinator: {} {}; following on from event {}", ending.value, text, self.last)
+            self.lost()
             self.moved.wait(max(0.0, wait - (time.monotonic() - began)))
 
     def _follow(self, address, wait):
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -8,7 +8,7 @@
 import sys
 import threading
 import time
-from threading import Event, Thread
+from threading import Thread
 
 from loguru import logger
 
@@ -22,6 +22,8 @@
 from gullhold.net.endings import Malformed
 from gullhold.net.front import RESULT_MOST, Listener
 from gullhold.net.logsink import LogSink
+from gullhold.net.reread import Reread, mark
+from gullhold.net.signals import ENDED, Signals
 
 STACK = 256 * 1024   # bytes of address space a thread; only what is touched counts as memory
 SWITCH_S = 0.001     # the longest that one thread keeps another waiting: under any network time that matters
@@ -92,18 +94,6 @@
     return core, runs
 
 
-def reload(path, coordinator):
-    """SIGHUP: the file was replaced. The coordinator's address is taken from it; all else holds until a
-    restart. A file that can't be used changes nothing."""
-    try:
-        with open(path, encoding="utf-8") as file:
-            address = json.load(file)["coordinator"]
-        coordinator.move(address)
-        logger.info("configuration read again: coordinator {}", address)
-    except (OSError, ValueError, KeyError, TypeError, AttributeError) as fault:
-        logger.error("configuration {} can't be used, the old one holds: {!r}", path, fault)
-
-
 def operator_file(path):
     """What the operator file at a path says, or None; Unusable where it can't be used."""
     if not path:
@@ -120,12 +110,12 @@
 
 def serve(path, report_s=0, operator=None):
     """Serve until SIGTERM, with the counters logged so often (0: only at the end); the exit status."""
-    # Only this thread takes signals: one that came to another while this one sleeps would wait unseen. And
-    # one that comes before its handler stands waits for it.
+    # A signal that comes before its handler stands waits for it; and no other thread's calls end for one.
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
     try:
         threading.stack_size(STACK)
         sys.setswitchinterval(SWITCH_S)
+        seen = mark(path) if path else None   # before it is read: one that is replaced meanwhile differs
         told = load(path)
         written = operator_file(operator)
         core, runs = assemble(told, written and written.door)
@@ -137,33 +127,41 @@
     logger.remove()
     logger.add(sink.put, level=os.environ.get("GULLHOLD_LOG", "INFO"),
                format="{time:HH:mm:ss.SSS} {level} {message}")
-    done, began = Event(), time.monotonic()
+    began, signals = time.monotonic(), Signals(SIGNALS)
 
     def run_core():
         try:
             core.run(told["changes"])
         finally:
-            done.set()   # a gateway without its core must not live on
+            signals.wake()   # a gateway without its core must not live on
 
-    runs["core"] = run_core
+    core_thread = Thread(target=run_core, name="core", daemon=True)
 
-    def report(*_):
+    def report():
         logger.info("counters: {}", "; ".join([f"up {time.monotonic() - began:.1f} s",
                     f"CPU {time.process_time():.2f} s", *resident(), *core.counters.lines()]))
 
-    signal.signal(signal.SIGTERM, lambda *_: core.first(core.leave))
-    signal.signal(signal.SIGINT, lambda *_: core.first(core.leave))
     coordinator = runs["coordinator"].__self__
-    signal.signal(signal.SIGHUP, lambda *_: reload(path, coordinator))
-    signal.signal(signal.SIGUSR1, lambda *_: Thread(target=report, daemon=True).start())
+    reread = Reread(path, seen, coordinator)
+    coordinator.lost = reread.if_changed
+    acts = {signal.SIGTERM: lambda: core.first(core.leave), signal.SIGINT: lambda: core.first(core.leave),
+            signal.SIGHUP: reread.now, signal.SIGUSR1: report}
     gc.collect()
     gc.freeze()   # what lives to the end need not be looked through again
     for name, run in runs.items():
         Thread(target=run, name=name, daemon=True).start()
+    core_thread.start()
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     logger.info("serving {} on {}", told["name"], told["listen"])
-    while not done.wait(report_s or None):
-        report()
+    due, came = began + report_s, ()
+    while ENDED not in came:
+        came = signals.wait(max(0.0, due - time.monotonic()) if report_s else None)
+        for number in came:
+            if number in acts:
+                acts[number]()
+        if report_s and time.monotonic() >= due:
+            report()
+            due += report_s
     report()
     sink.finish(LOG_S)
     return 0 if core.stopped else 1
--- a/gullhold/standins/coordinator.py
+++ b/gullhold/standins/coordinator.py
@@ -1,6 +1,7 @@
 """The coordinator: keeps how it was asked, and says what it is told to."""
 
 import json
+import socket
 from threading import Event, Thread
 
 from gullhold.standins import PATIENCE_S, listening
@@ -16,7 +17,10 @@
 
     def _accept(self):
         while True:
-            conn = self.sock.accept()[0]
+            try:
+                conn = self.sock.accept()[0]
+            except OSError:   # closed
+                return
             self.asked.append(conn.recv(100))
             self.conn = conn
             self.up.set()
@@ -27,3 +31,9 @@
         self.conn.sendall(
             b"".join(line if isinstance(line, bytes) else json.dumps(line).encode() + b"\n" for line in lines)
         )
+
+    def close(self):
+        """It refuses from now on, and closes what is open."""
+        for sock in filter(None, (self.sock, self.conn)):
+            sock.shutdown(socket.SHUT_RDWR)
+            sock.close()
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -380,8 +380,8 @@
     """Starts a gateway in a process of its own, which ends with the test."""
     made = []
 
-    def make(told, **other):
-        made.append(launched(tmp_path, told, **other))
+    def make(told, *words, **other):
+        made.append(launched(tmp_path, told, *words, **other))
         return made[-1]
 
     yield make
@@ -390,13 +390,13 @@
         process.communicate()
 
 
-def launched(tmp_path, told, stderr=subprocess.PIPE):
+def launched(tmp_path, told, *words, stderr=subprocess.PIPE):
     path = tmp_path / "config.json"
     path.write_text(json.dumps(told))
     env = {**os.environ, "GW_CONFIG": str(path)}
     env.pop("GW_LISTEN", None)
     return subprocess.Popen(
-        [sys.executable, "-m", "gullhold", "serve"],
+        [sys.executable, *(words or ("-m", "gullhold", "serve"))],
         cwd=ROOT,
         env=env,
         text=True,
@@ -464,6 +464,50 @@
     assert old.asked == [b"follow 1\n"] and new.asked == [b"follow 2\n"]
 
 
+UNINTERRUPTED = """
+import signal, sys, threading, time
+threading.Thread(target=time.sleep, args=(60,), daemon=True).start()   # it alone takes signals from here on
+block = signal.pthread_sigmask
+signal.pthread_sigmask = lambda how, numbers: block(signal.SIG_BLOCK, numbers)
+from gullhold.__main__ import main
+status = main(sys.argv[1:])
+sys.stderr.flush()
+__import__("os")._exit(status)
+"""
+
+
+def test_signals_take_effect_at_once_where_they_interrupt_no_wait(launch, tmp_path):
+    """They did when the next report was due, as the main thread's wait went on: 7.5 s on an old list."""
+    old, new, port = Feed(), Feed(), free_port()
+    told = config() | {"listen": f"127.0.0.1:{port}", "coordinator": old.address}
+    process = launch(told, "-c", UNINTERRUPTED, "serve", "--report", "30")
+    until(lambda: old.asked)
+    (tmp_path / "config.json").write_text(json.dumps(told | {"coordinator": new.address}))
+    began = time.monotonic()
+    process.send_signal(signal.SIGHUP)
+    until(lambda: new.asked)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(PATIENCE) == 0 and time.monotonic() - began < 3
+    assert process.stderr.read().count("counters: ") == 1   # at the end alone
+
+
+def test_a_coordinator_that_refuses_is_looked_for_in_the_file_without_a_signal(launch, tmp_path):
+    old, new, port = Feed(), Feed(), free_port()
+    told = config() | {"listen": f"127.0.0.1:{port}", "coordinator": old.address}
+    process = launch(told)
+    until(lambda: old.conn)
+    path = tmp_path / "config.json"
+    path.write_text("{")
+    old.close()
+    time.sleep(0.6)
+    path.write_text(json.dumps(told | {"coordinator": new.address}))
+    until(lambda: new.asked)
+    process.terminate()
+    assert process.wait(PATIENCE) == 0
+    log = process.stderr.read()
+    assert log.count("can't be used, the old one holds") == 1 and log.count("configuration read again") == 1
+
+
 @pytest.mark.parametrize(
     "spoil",
     [
