Fleet: one owner at a time, through a register; scheduled commands; a rig of real processes

Need: work on behalf of several gateways, which share nothing, has to be done once, and an old owner that wakes late must do no harm.

Change: gullhold/fleet. Decisions free of I/O: leases counted from when they were asked for, less the stated drift; members whose later process wins; duties spread by rendezvous hashing, owned under a token that is the register's revision; what a lost reply leaves open is looked at and never guessed; scheduled commands with an intent before each send and an outcome after it, gone on with by profile. Drivers: the published v3 key-value interface by a kept client library, threads, the fleet's own commands through the ordinary path. `gullhold register` (durable, scriptable faults), `gullhold fleet members|duties|history`, `fleet:` in the operator file. Off in `run`; nothing of it is imported there.

Also in the core: at the last answers of a planned restart the end is set before they are given, so that a fault in one of them no longer keeps the gateway from ending (seen with a client that lacked a field).

Found by the explorer of decisions and mended: a process that had not yet joined took an older one's key for a later one's and left; an older process that came back could push out a later one. Found by the rig: a member whose calls arrive and whose replies are lost kept a lease for ever that it could not act on.

--- a/gullhold/__main__.py
+++ b/gullhold/__main__.py
@@ -27,6 +27,18 @@
     trial.add_argument("--seconds", type=float, default=10, help="how long each run takes (10)")
     trial.add_argument("--door", choices=("both", "on", "off"), default="both", help="the runs (both)")
     trial.add_argument("--seed", type=int, default=1, help="for chance (1)")
+    register = commands.add_parser("register", help="a register for the fleet on one machine")
+    register.add_argument("--listen", default="127.0.0.1:2379", metavar="HOST:PORT", help="(127.0.0.1:2379)")
+    register.add_argument("--store", default="register.db", metavar="FILE",
+                          help="what it keeps (register.db)")
+    register.add_argument("--journal", metavar="FILE", help="add a line for each change to this file")
+    register.add_argument("--fast", action="store_true", help="a loss of power may undo the last changes")
+    register.add_argument("--scripted", action="store_true", help="faults may be asked for: for tests alone")
+    fleet = commands.add_parser("fleet", help="what a fleet's register says")
+    fleet.add_argument("what", choices=("members", "duties", "history"))
+    fleet.add_argument("--register", default="127.0.0.1:2379", metavar="HOST:PORT", help="(127.0.0.1:2379)")
+    fleet.add_argument("--name", default="main", help="which fleet (main)")
+    fleet.add_argument("--json", action="store_true", help="a JSON object a line, for scripts")
     commands.add_parser("version", help="print the version")
     return top
 
@@ -41,6 +53,12 @@
         from gullhold import trial  # noqa: PLC0415  heavy libraries
         return trial.run(args.seconds, {"both": (False, True), "on": (True,), "off": (False,)}[args.door],
                          args.seed)
+    if args.command == "register":
+        from gullhold.standins.register import server  # noqa: PLC0415
+        return server.main(args.listen, args.store, not args.fast, args.journal, args.scripted)
+    if args.command == "fleet":
+        from gullhold.fleet import show  # noqa: PLC0415  heavy libraries
+        return show.run(args.what, args.register, args.name, args.json)
     from gullhold.net import service  # noqa: PLC0415  only these need what it imports
     if args.command == "check":
         return service.check(args.address, args.timeout)
--- /dev/null
+++ b/gullhold/fleet/driver.py
@@ -0,0 +1,331 @@
+"""What carries a member's decisions out: one thread that decides, a few that wait for the register.
+
+The core never waits for any of them: commands of the fleet's own reach it as posts, and answers come back as
+posts. A register that is away costs pauses here and nothing there.
+"""
+
+import random
+import time
+from queue import Empty, SimpleQueue
+from threading import Event, Thread
+
+import requests
+from loguru import logger
+
+from gullhold import interface as api
+from gullhold.fleet import owner, schedule
+from gullhold.fleet.calendar import Bad, Calendar
+from gullhold.fleet.calls import DONE, Put, Read
+from gullhold.fleet.errands import Desk
+from gullhold.fleet.lease import Terms
+from gullhold.fleet.pace import Pauses
+from gullhold.fleet.register import Register
+from gullhold.net.front import Reader
+
+KEYS = "/gullhold/"       # before a fleet's name: other programs may use the register too
+PLAN, BEAT = "schedule/", "beat/"   # duties, by what they are for
+BEATS = "beats/"          # keys of what beats write
+IDLE_S = 0.5              # s, the longest sleep of the deciding thread: a clock that jumps is noticed by then
+QUIET_LEASES = 2          # lease times for which a watch may say nothing before it is opened anew
+LEAST_S = 0.002           # s, the shortest: what is due at once and can't be done now does not spin
+MILLION = 1_000_000
+
+
+class Unusable(Exception):
+    """A fleet record that does not fit the agreement; the text is one plain line."""
+
+
+def clock():
+    """Monotonic us: what leases are counted by."""
+    return int(time.monotonic() * MILLION)
+
+
+def unix():
+    """Unix us: what calendars are counted by."""
+    return time.time_ns() // 1000
+
+
+class Lane:
+    """A thread that carries out requests one after another, on a session of its own."""
+
+    def __init__(self, name, make, tell):
+        self.make, self.tell, self.queue = make, tell, SimpleQueue()
+        Thread(target=self._run, name=f"fleet {name}", daemon=True).start()
+
+    def put(self, request, *tag):
+        """From the deciding thread: carry it out; tell(*tag, reply) follows."""
+        self.queue.put((request, tag))
+
+    def _run(self):
+        session = self.make()
+        while True:
+            request, tag = self.queue.get()
+            self.tell(*tag, session.call(request))
+
+
+class Beats:
+    """Duties that write who owns them, each in its own time: staff see that all of it works."""
+
+    def __init__(self, fleet, period_us):
+        self.fleet, self.period_us, self.next, self.out = fleet, period_us, {}, set()
+
+    def won(self, duty, _token, now):
+        """Begin at once."""
+        self.next[duty] = now
+
+    def gone(self, duty):
+        """Stop."""
+        self.next.pop(duty, None)
+
+    def due(self):
+        """When to step()."""
+        return min(self.next.values(), default=None)
+
+    def step(self, now):
+        """Write those whose time has come; one write of a duty is out at a time."""
+        for duty, at in self.next.items():
+            if at <= now and duty not in self.out:
+                token = self.fleet.owner.may_act(duty, now)
+                if token:
+                    self.out.add(duty)
+                    value = f'{{"duty": "{duty}", "token": {token}, "by": "{self.fleet.owner.name}"}}'
+                    acts = (Put(BEATS + duty, value),)
+                    self.fleet.work.put(self.fleet.owner.effect(duty, token, acts), "beaten", duty, token)
+            if at <= now:
+                self.next[duty] = now + self.period_us
+
+    def beaten(self, duty, token, reply):
+        """A write's reply."""
+        self.out.discard(duty)
+        if reply.proof == DONE and not reply.met:
+            self.fleet.event("warning", "late effect refused", duty=duty, token=token)
+
+
+class Fleet:
+    """A member of a fleet, from start() until leave() is done."""
+
+    def __init__(self, record, told, core):
+        self.record, self.core, self.name = record, core, told["name"] or told["listen"]
+        # The seed is this start's own; the nonce tells two processes of one name apart.
+        self.chance = random.Random(told["seed"] ^ time.time_ns())
+        self.queue, self.gone = SimpleQueue(), Event()
+        timeout_s = record.timeout / MILLION
+        self.make = lambda: Register(record.register_, f"{KEYS}{record.name}/", timeout_s)
+        terms = Terms(record.lease // MILLION, record.drift.rate, record.drift.margin)
+        rule = owner.Rule(terms, record.duties.settle, record.duties.moves, record.duties.pauses.least,
+                          record.duties.pauses.most, record.duties.leaving)
+        self.plans = {PLAN + item.name: self._plan(item, told["deal"]) for item in record.schedule}
+        self.commands = {PLAN + item.name: item for item in record.schedule}
+        duties = [*self.plans, *(f"{BEAT}{i}" for i in range(record.duties.beats))]
+        self.owner = owner.Owner(self.name, f"{self.chance.getrandbits(64):016x}", rule, duties,
+                                 self.chance.random, clock())
+        self.beats = Beats(self, record.duties.beat)
+        self.desk = Desk(core, Reader(told["deal"]),
+                         lambda *told_: self.queue.put(("answered", *told_)), self.chance.getrandbits)
+        self.asked = {}                   # commands that are out: their duty
+        self.away_since = None            # since when the register does not answer
+        self.watch_from = SimpleQueue()   # revisions from which to watch anew
+
+    def _plan(self, item, deal):
+        names = [profile.name for profile in deal.profiles]
+        where = f"fleet.schedule {item.name!r}"
+        if item.profile not in names:
+            raise Unusable(f"{where}: {item.profile!r} is no profile of the agreement")
+        if deal.tenants and item.tenant not in [tenant.name for tenant in deal.tenants]:
+            raise Unusable(f"{where}: {item.tenant!r} is no tenant of the agreement")
+        profile = deal.profiles[names.index(item.profile)]
+        try:
+            calendar = Calendar(item.at, item.zone, item.every)
+        except Bad as fault:
+            raise Unusable(f"{where}: {fault}") from None
+        rule = schedule.Rule(item.name, item.window, item.tries, item.overlap == "wait",
+                             self.record.drift.skew)
+        kind = schedule.Kind(profile.effect, profile.timeout_us, profile.dedup_us,
+                             profile.dedup_scope == api.ALL)
+        return schedule.Plan(rule, kind, calendar, self.name)
+
+    # From other threads
+
+    def start(self):
+        """Begin, in threads of its own."""
+        if self.record.events:
+            logger.add(self.record.events, serialize=True, filter=lambda line: "fleet" in line["extra"])
+        self.lanes = {name: Lane(name, self.make, lambda *told: self.queue.put(told))
+                      for name in (owner.LEASE, owner.STATE, "work")}
+        self.work = self.lanes["work"]
+        Thread(target=self._run, name="fleet", daemon=True).start()
+        Thread(target=self._watch, name="fleet watch", daemon=True).start()
+
+    def leave(self):
+        """SIGTERM: give back in good order; `gone` is set when that is done."""
+        self.queue.put(("leave",))
+
+    # The deciding thread
+
+    def _run(self):
+        self.owner.tick(clock())
+        while self.owner.state != owner.OUT:
+            self._guarded(self._carry_out)
+            try:
+                what, *told = self.queue.get(timeout=self._sleep_s())
+                self._guarded(getattr(self, "_on_" + what), *told)
+            except Empty:
+                pass
+            self._guarded(self.owner.tick, clock())
+            for duty, plan in self.plans.items():
+                self._guarded(self._step_plan, duty, plan)
+            self._guarded(self.beats.step, clock())
+        self._guarded(self._carry_out)
+        self.gone.set()
+
+    def _guarded(self, call, *args):
+        """A fault of ours is logged and counted, and takes nothing else along."""
+        try:
+            call(*args)
+        except Exception:
+            self.core.counters.add("faults of ours")
+            logger.exception("fleet: {} failed", getattr(call, "__name__", call))
+
+    def _sleep_s(self):
+        now, unix_now = clock(), unix()
+        waits = [self.owner.due(now) - now, (self.beats.due() or now + MILLION) - now]
+        waits += [plan.due(unix_now) - unix_now for plan in self.plans.values() if plan.token]
+        return max(LEAST_S, min(IDLE_S, min(waits) / MILLION))
+
+    def _step_plan(self, duty, plan):
+        plan.step(unix())
+        self._carry_plan(duty, plan)
+
+    def _carry_out(self):
+        """What the owner wants done."""
+        while out := self.owner.take():
+            for what, *told in out:
+                if what == owner.CALL:
+                    self.lanes[owner.lane_of(told[0].request)].put(told[0].request, "replied", told[0])
+                elif what == owner.WON:
+                    self._won(*told)
+                elif what == owner.GONE:
+                    self._lost(*told)
+                elif what == owner.WATCH:
+                    self.watch_from.put(told[0])
+                else:
+                    self.event("info", told[0], **told[1])
+
+    def _won(self, duty, token):
+        self.event("info", "owns", duty=duty, token=token)
+        if duty in self.plans:
+            self.plans[duty].won(token, unix())
+            self._carry_plan(duty, self.plans[duty])
+        else:
+            self.beats.won(duty, token, clock())
+
+    def _lost(self, duty, why):
+        self.event("info", "owns no more", duty=duty, why=why)
+        if duty in self.plans:
+            self.plans[duty].gone()
+            self._carry_plan(duty, self.plans[duty])
+        else:
+            self.beats.gone(duty)
+
+    def _carry_plan(self, duty, plan):
+        """What a scheduled command wants done."""
+        while out := plan.take():
+            for what, *told in out:
+                if what == schedule.READ:
+                    self.work.put(Read(told[0]), "plan_read", duty)
+                elif what == schedule.WRITE:
+                    serial, token, acts, when = told
+                    self.work.put(self.owner.effect(duty, token, acts, when), "plan_written", duty, serial,
+                                  token)
+                elif what == schedule.BUSY:
+                    self.owner.occupied(duty, told[0])
+                elif what == schedule.SEND:
+                    self._send(duty, plan, *told)
+                else:
+                    level, text, facts = told
+                    self.event(level, "occurrence " + text, **facts)
+
+    def _send(self, duty, plan, due, tries, mark, at, limit_us):
+        self.event("info", "occurrence sent", duty=duty, due=due, tries=tries, token=plan.token, mark=mark)
+        number, why = self.desk.ask(self.commands[duty], limit_us, at, mark, tries > 1)
+        if number is None:
+            plan.ended(unix(), schedule.UNDONE, why)
+        else:
+            self.asked[number] = duty
+
+    def event(self, level, text, **facts):
+        """A line for staff, with its facts as fields."""
+        fields = {"fleet": self.record.name, "member": self.name, "event": text, **facts}
+        logger.bind(**fields).log(level.upper(), "fleet: {}{}", text, "".join(
+            f"; {name} {value}" for name, value in facts.items() if value not in ("", None)))
+
+    # What comes to the deciding thread
+
+    def _on_replied(self, call, reply):
+        now = clock()
+        if reply.proof == DONE and self.away_since is not None:
+            away_s = round((now - self.away_since) / MILLION, 1)
+            self.event("warning", "the register answers again", after_s=away_s)
+            self.away_since = None
+        elif reply.proof != DONE and self.away_since is None:
+            self.away_since = now
+            self.event("warning", "the register does not answer; served on as if alone", proof=reply.proof)
+        self.owner.reply(now, call, reply)
+
+    def _on_changed(self, key, value, revision):
+        self.owner.changed(clock(), key, value, revision)
+
+    def _on_watch_lost(self):
+        self.owner.watch_lost(clock())
+
+    def _on_leave(self):
+        for plan in self.plans.values():
+            plan.leave()
+        self.owner.leave(clock())
+
+    def _on_beaten(self, duty, token, reply):
+        self.beats.beaten(duty, token, reply)
+
+    def _on_plan_read(self, duty, reply):
+        self.plans[duty].read(unix(), reply)
+
+    def _on_plan_written(self, duty, serial, token, reply):
+        if reply.proof == DONE and not reply.met:
+            self.event("warning", "late effect refused", duty=duty, token=token)
+        may_act = self.owner.may_act(duty, clock()) == token
+        self.plans[duty].written(unix(), serial, reply, may_act)
+
+    def _on_answered(self, number, state, why):
+        duty = self.asked.pop(number, None)
+        if duty:
+            self.plans[duty].ended(unix(), state, why)
+
+    # Watching
+
+    def _watch(self):
+        """Follow the members from the revision that the owner names, and on from there; for ever."""
+        session, revision = self.make(), self.watch_from.get()
+        quiet_s = QUIET_LEASES * self.record.lease / MILLION
+        pauses = Pauses(self.record.duties.pauses.least, self.record.duties.pauses.most, self.chance.random)
+        while True:
+            while not self.watch_from.empty():
+                revision = self.watch_from.get()
+            last, began = [revision], time.monotonic()
+
+            def tell(key, value, at, last=last):
+                last[0] = at + 1
+                self.queue.put(("changed", key, value, at))
+
+            try:
+                whole = session.watch(owner.MEMBERS, revision, quiet_s, tell)
+                if not whole:   # what changed meanwhile is not to be had: who is there is read anew
+                    self.queue.put(("watch_lost",))
+                    revision = self.watch_from.get()
+                    continue
+            except (OSError, ValueError, KeyError, requests.RequestException):
+                pass   # silence, or a register that is away
+            revision = max(revision, last[0])
+            if time.monotonic() - began >= quiet_s:   # it was up, and nobody came or went
+                pauses.reset()
+            else:
+                time.sleep(pauses.draw() / MILLION)
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -642,9 +642,9 @@
 
     def _leave_now(self):
         """What is still open is answered before the kill."""
+        self._later(self.now + FLUSH_US // 2, self._stop)   # first: a fault below must not keep us
         for cmd in [cmd for cmd in self.owed.values() if cmd.client]:
             self._give_up(cmd)
-        self._later(self.now + FLUSH_US // 2, self._stop)
 
     def _close(self):
         """Nothing goes on to the module any more: what waits is answered, and what comes is at once.
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -29,6 +29,7 @@
 SWITCH_S = 0.001     # the longest that one thread keeps another waiting: under any network time that matters
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 LOG_S = 0.2          # at the end, for lines still unwritten
+FLEET_S = 1.0        # at the end, for what came of the fleet's own commands: a few calls of the register
 OWN_SOCKETS = 16     # descriptors beside clients and links: standard ones, listener, coordinator, spare
 
 
@@ -108,6 +109,41 @@
         raise Unusable(str(fault)) from None
 
 
+def fleet_of(rule, told, core):
+    """The member of a fleet that an operator's FleetRecord asks for, not begun yet; None where it is off."""
+    if not rule.on:
+        return None
+    try:
+        from gullhold.fleet import driver  # noqa: PLC0415  heavy: only where it is on
+    except ImportError as fault:
+        raise Unusable(f"fleet needs the libraries of requirements-full.txt: {fault}") from None
+    try:
+        return driver.Fleet(rule, told, core)
+    except driver.Unusable as fault:
+        raise Unusable(str(fault)) from None
+
+
+def log_to(sink):
+    """From here on the log goes to this sink, which is returned."""
+    logger.remove()
+    logger.add(sink.put, level=os.environ.get("GULLHOLD_LOG", "INFO"),
+               format="{time:HH:mm:ss.SSS} {level} {message}")
+    return sink
+
+
+def wait_for_end(signals, acts, report, report_s):
+    """Act on signals, and report so often (0: never), until the core has ended."""
+    due, came = time.monotonic() + report_s, ()
+    while ENDED not in came:
+        came = signals.wait(max(0.0, due - time.monotonic()) if report_s else None)
+        for number in came:
+            if number in acts:
+                acts[number]()
+        if report_s and time.monotonic() >= due:
+            report()
+            due += report_s
+
+
 def serve(path, report_s=0, operator=None):
     """Serve until SIGTERM, with the counters logged so often (0: only at the end); the exit status."""
     # A signal that comes before its handler stands waits for it; and no other thread's calls end for one.
@@ -119,14 +155,12 @@
         told = load(path)
         written = operator_file(operator)
         core, runs = assemble(told, written and written.door)
+        fleet = fleet_of(written.fleet, told, core) if written else None
     except Unusable as fault:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         print(f"gullhold: {fault}", file=sys.stderr)
         return 2
-    sink = LogSink(sys.stderr, core.counters)
-    logger.remove()
-    logger.add(sink.put, level=os.environ.get("GULLHOLD_LOG", "INFO"),
-               format="{time:HH:mm:ss.SSS} {level} {message}")
+    sink = log_to(LogSink(sys.stderr, core.counters))
     began, signals = time.monotonic(), Signals(SIGNALS)
 
     def run_core():
@@ -144,24 +178,25 @@
     coordinator = runs["coordinator"].__self__
     reread = Reread(path, seen, coordinator)
     coordinator.lost = reread.if_changed
-    acts = {signal.SIGTERM: lambda: core.first(core.leave), signal.SIGINT: lambda: core.first(core.leave),
-            signal.SIGHUP: reread.now, signal.SIGUSR1: report}
+
+    def leave():
+        core.first(core.leave)
+        if fleet:
+            fleet.leave()
+
+    acts = {signal.SIGTERM: leave, signal.SIGINT: leave, signal.SIGHUP: reread.now, signal.SIGUSR1: report}
     gc.collect()
     gc.freeze()   # what lives to the end need not be looked through again
     for name, run in runs.items():
         Thread(target=run, name=name, daemon=True).start()
     core_thread.start()
+    if fleet:
+        fleet.start()
     signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
     logger.info("serving {} on {}", told["name"], told["listen"])
-    due, came = began + report_s, ()
-    while ENDED not in came:
-        came = signals.wait(max(0.0, due - time.monotonic()) if report_s else None)
-        for number in came:
-            if number in acts:
-                acts[number]()
-        if report_s and time.monotonic() >= due:
-            report()
-            due += report_s
+    wait_for_end(signals, acts, report, report_s)
+    if fleet:
+        fleet.gone.wait(FLEET_S)
     report()
     sink.finish(LOG_S)
     return 0 if core.stopped else 1
--- a/gullhold/operator/records.py
+++ b/gullhold/operator/records.py
@@ -76,10 +76,83 @@
         return self
 
 
+class Drift(Told):
+    """How far clocks may be off."""
+
+    rate: float
+    margin: int
+    skew: int
+
+
+class Pauses(Told):
+    """Between tries."""
+
+    least: int
+    most: int
+
+
+class Duties(Told):
+    """How duties are spread over members."""
+
+    moves: int
+    settle: int
+    pauses: Pauses
+    leaving: int
+    beats: int
+    beat: int
+
+
+class Scheduled(Told):
+    """A command that is sent on behalf of the fleet."""
+
+    name: str
+    at: str
+    zone: str
+    every: int
+    profile: str
+    tenant: str
+    statement: str
+    work: int
+    memory: int
+    window: int
+    tries: int
+    overlap: str
+
+
+class FleetRecord(Told):
+    """Work on behalf of several gateways."""
+
+    on: bool
+    name: str
+    register_: str = Field(alias="register")   # a model has a method of that name
+    timeout: int
+    lease: int
+    drift: Drift
+    duties: Duties
+    schedule: tuple[Scheduled, ...] = Field(default=(), strict=False)
+    events: str
+
+    @model_validator(mode="after")
+    def _usable(self):
+        if self.on and not self.register_:
+            raise ValueError("fleet.on needs fleet.register: HOST:PORT")
+        if self.lease % 1_000_000:
+            raise ValueError("fleet.lease is in whole seconds")
+        if self.lease * (1 - self.drift.rate) - self.drift.margin < self.lease / 2:
+            raise ValueError("fleet.drift leaves less than half of fleet.lease")
+        if self.duties.pauses.least > self.duties.pauses.most:
+            raise ValueError("fleet.duties.pauses: least is over most")
+        names = [item.name for item in self.schedule]
+        if len(set(names)) < len(names):
+            raise ValueError("fleet.schedule: two commands of one name")
+        return self
+
+
 class OperatorFile(Told):
     """All that an operator file says."""
 
     door: DoorRecord
+    fleet: FleetRecord
 
 
 def schema():
--- a/gullhold/operator/schema.cue
+++ b/gullhold/operator/schema.cue
@@ -1,6 +1,7 @@
 // What an operator file may say. The operator's own file is unified with this one, once, at the start.
 
 door: #Door
+fleet: #Fleet
 
 // Fair queues in front of the decision module.
 #Door: {
@@ -61,3 +62,66 @@
 	each: *64 | (int & >=1 & <=4096)
 	all:  *20000 | (int & >=1 & <=1000000)
 }
+
+// Work on behalf of several gateways, through a register: one owner at a time (docs/operators/owner.md).
+#Fleet: {
+	on: *false | bool
+	// Which fleet, where several share a register.
+	name: *"main" | (string & =~"^[A-Za-z0-9_.-]+$")
+	// HOST:PORT of the register, and how long one call may take.
+	register: *"" | (string & =~"^[^ ]+:[0-9]+$")
+	timeout:  *1s | (duration & >=10ms & <=1min)
+	// How long the register waits for a member's word, in whole seconds.
+	lease: *5s | (duration & >=1s & <=10min)
+	drift: #Drift
+	duties: #Duties
+	schedule: [...#Scheduled]
+	// A file to which each event is added as a line of JSON; "": the log alone.
+	events: *"" | string
+}
+
+// How far clocks may be off.
+#Drift: {
+	// The most that the rates of two hosts' clocks differ, as a share.
+	rate: *0.01 | (number & >=0 & <=0.5)
+	// How much sooner than promised the register may forget a lease.
+	margin: *100ms | (duration & >=0s & <=1min)
+	// The most that two hosts' Unix clocks differ.
+	skew: *100ms | (duration & >=0s & <=1min)
+}
+
+#Duties: {
+	// The most duties a second that one member lets go for another.
+	moves: *200 | (int & >=1 & <=100000)
+	// How long a member that comes among others waits until duties move to it.
+	settle: *5s | (duration & >=0s & <=1h)
+	// Pauses between tries, growing and spread.
+	pauses: {
+		least: *100ms | (duration & >=1ms & <=1min)
+		most:  *5s | (duration & >=10ms & <=1h)
+	}
+	// How long leaving waits for work that is under way.
+	leaving: *4s | (duration & >=0s & <=10min)
+	// So many duties that do nothing but write who owns them, this often: to see that all of it works.
+	beats: *0 | (int & >=0 & <=100000)
+	beat:  *1s | (duration & >=10ms & <=1h)
+}
+
+// A command that is sent on behalf of the fleet.
+#Scheduled: {
+	name: string & =~"^[A-Za-z0-9_.-]+$"
+	// When: an expression of five fields, or six with seconds first, in a zone; or every so often.
+	at:    *"" | string
+	zone:  *"UTC" | string
+	every: *0s | (duration & >=0s & <=24h)
+	// What, in the words of the agreement. work: on one core; memory in MB.
+	profile:   string
+	tenant:    *"" | string
+	statement: string
+	work:      *0s | (duration & >=0s & <=24h)
+	memory:    *0 | (int & >=0 & <=1000000)
+	// How late it may begin; how often it is tried; what to do while the last one still runs.
+	window:  *1min | (duration & >=100ms & <=24h)
+	tries:   *3 | (int & >=1 & <=10)
+	overlap: *"skip" | "wait"
+}
--- /dev/null
+++ b/gullhold/standins/ownermutants.py
@@ -0,0 +1,173 @@
+"""Deliberate faults in the decisions of members: the explorer finds each one, or it has a gap.
+
+A mutant is the product's class with one method changed.
+"""
+
+from gullhold.fleet import owner
+from gullhold.fleet.calls import DONE, MAYBE, Put, Txn
+from gullhold.fleet.owner import DUTIES, MEMBERS, Owner
+from gullhold.standins import ownercheck
+
+
+class NoDriftMargin(Owner):
+    """Counts a lease by its own clock for as long as it was granted."""
+
+    def __init__(self, name, nonce, rule, duties, chance, now):
+        terms = rule.terms._replace(drift=0.0)
+        rule = owner.Rule(terms, rule.settle_us, rule.moves, rule.pause_least, rule.pause_most, rule.leave_us)
+        super().__init__(name, nonce, rule, duties, chance, now)
+
+
+class LeaseFromReply(Owner):
+    """Counts a lease from when it heard of it."""
+
+    def _replied_keep(self, now, call, reply):
+        super()._replied_keep(now, call._replace(sent_at=now), reply)
+
+
+class TokenNotCompared(Owner):
+    """Effects carry no token."""
+
+    def effect(self, duty, token, acts, when=()):
+        return Txn(tuple(when), tuple(acts))
+
+
+class OldToken(Owner):
+    """Acts after its lease was lost, under the tokens that it had, once it has another lease."""
+
+    def _drop_all(self, why):
+        kept = dict(self.tokens)
+        super()._drop_all(why)
+        self.tokens = kept
+
+
+class LeaseNotLooked(Owner):
+    """Goes by what it last knew, whatever the time."""
+
+    def may_act(self, duty, now):
+        return self.tokens.get(duty, 0) if self.state == owner.IN else 0
+
+
+class ActsWhileReleasing(Owner):
+    """Goes on acting until it hears that a duty was let go."""
+
+    def _gone(self, duty, why):
+        if why != "let go":
+            super()._gone(duty, why)
+
+    def _replied_release(self, now, call, reply):
+        for duty in call.about:
+            self.tokens.pop(duty, None)
+        super()._replied_release(now, call, reply)
+
+
+class MaybeIsDone(Owner):
+    """Takes a lost reply to a claim for a yes."""
+
+    def _replied_claim(self, now, call, reply):
+        if reply.proof == MAYBE:
+            reply = reply._replace(proof=DONE, revision=self.seen + 1)
+        super()._replied_claim(now, call, reply)
+
+
+class MaybeIsNot(Owner):
+    """Takes a lost reply to a release for a no, and goes on under the old token."""
+
+    def _replied_release(self, now, call, reply):
+        if reply.proof == MAYBE:
+            for key, token in call.request.when:
+                self._won(key.removeprefix(DUTIES), token)
+        else:
+            super()._replied_release(now, call, reply)
+
+
+class TokenReused(Owner):
+    """Finds its own key after a lost reply and goes on under that token: an older call may still undo it."""
+
+    def _saw(self, now, duty, item):
+        super()._saw(now, duty, item)
+        if duty in self.known:
+            self.wanted.pop(duty)
+            self._won(duty, self.known.pop(duty))
+
+
+class ClaimsHeld(Owner):
+    """Takes a duty whatever the register has of it."""
+
+    def _claim(self, about):
+        asked = super()._claim(about)
+        return asked and (asked[0], asked[1]._replace(when=asked[1].when[:1]), asked[2])
+
+
+class NameNotWatched(Owner):
+    """Does not see that a later process has its name."""
+
+    def _superseded(self, now):
+        pass
+
+
+class LostLeaseKept(Owner):
+    """Goes on keeping a lease that the register has no more."""
+
+    def _replied_keep(self, now, call, reply):
+        if reply.ttl_s:
+            super()._replied_keep(now, call, reply)
+
+
+class DeafToGoing(Owner):
+    """Does not hear that a member has gone."""
+
+    def changed(self, now, key, value, revision):
+        if value is not None or key == MEMBERS + self.name:
+            super().changed(now, key, value, revision)
+
+
+class OldReplies(Owner):
+    """Believes replies that were asked for under a lease that is no more."""
+
+    def reply(self, now, call, reply):
+        self.void = 0
+        super().reply(now, call, reply)
+
+
+class JoinsOver(Owner):
+    """Writes its own key whatever stands there: an older process may push out a later one."""
+
+    def _state_call(self, now):
+        asked = super()._state_call(now)
+        if asked and asked[0] in ("join", "ready"):
+            return asked[0], asked[1]._replace(when=()), asked[2]
+        return asked
+
+
+class NothingLetGo(Owner):
+    """Keeps what others should have."""
+
+    def _loose(self):
+        return []
+
+
+class NoLease(Owner):
+    """Claims with keys that hang on no lease."""
+
+    def _claim(self, about):
+        asked = super()._claim(about)
+        return asked and (asked[0], asked[1]._replace(
+            acts=tuple(Put(act.key, act.value) for act in asked[1].acts)), asked[2])
+
+
+MUTANTS = (NoDriftMargin, LeaseFromReply, TokenNotCompared, OldToken, LeaseNotLooked, ActsWhileReleasing,
+           MaybeIsDone, MaybeIsNot, TokenReused, ClaimsHeld, NameNotWatched, LostLeaseKept,
+           DeafToGoing, OldReplies, JoinsOver, NothingLetGo, NoLease)
+
+
+def find(mutant, walks, steps):
+    """(seed, what broke) of the first walk that finds it, or None."""
+    for seed in range(walks):
+        try:
+            ownercheck.walk(seed, steps, mutant)
+        except ownercheck.Broken as fault:
+            return seed, str(fault).partition("; after")[0]
+        except Exception as fault:   # it fell over its own state: found too
+            return seed, repr(fault)
+    return None
--- /dev/null
+++ b/gullhold/standins/relay.py
@@ -0,0 +1,106 @@
+"""A relay between two processes, which cuts, delays, halves and loses what passes, one way or both."""
+
+import socket
+import threading
+import time
+from contextlib import suppress
+
+from gullhold.standins import LOOPBACK, listening
+
+THERE, BACK = "there", "back"   # from who connects to who listens, and the other way
+OPEN, HELD, LOST, HALVED = "open", "held", "lost", "halved"
+CHUNK = 65536
+
+
+class Relay:
+    """Passes bytes to a target until told otherwise.
+
+    Held bytes go on when the way is open again, as a network would deliver them late, also those of a side
+    that has given up. Lost: the connection ends in their place. Halved: half of the next bytes go on, then
+    the connection ends.
+    """
+
+    def __init__(self, target):
+        host, _, port = target.rpartition(":")
+        self.target, self.delay_s = (host, int(port)), 0.0
+        self.ways, self.changed = {THERE: OPEN, BACK: OPEN}, threading.Condition()
+        self.conns, self.closed = set(), False
+        self.sock, self.address = listening()
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def set(self, way=OPEN, sides=(THERE, BACK)):
+        """From now on what passes on these sides is open, held, lost or halved."""
+        with self.changed:
+            self.ways.update(dict.fromkeys(sides, way))
+            self.changed.notify_all()
+
+    def reset(self):
+        """Every connection ends."""
+        for sock in list(self.conns):
+            self._end(sock)
+
+    def close(self):
+        """Refuse from now on."""
+        self.closed = True
+        self.set(OPEN)
+        self._end(self.sock)
+        self.reset()
+
+    def _accept(self):
+        while not self.closed:
+            try:
+                near = self.sock.accept()[0]
+            except OSError:
+                return
+            threading.Thread(target=self._join, args=(near,), daemon=True).start()
+
+    def _join(self, near):
+        self._wait(THERE)   # a new connection does not come up through a cut
+        try:
+            far = socket.create_connection(self.target, timeout=5)
+        except OSError:
+            near.close()
+            return
+        far.settimeout(None)
+        for sock in (near, far):
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            self.conns.add(sock)
+        threading.Thread(target=self._pump, args=(far, near, BACK), daemon=True).start()
+        self._pump(near, far, THERE)
+
+    def _wait(self, side):
+        with self.changed:
+            while self.ways[side] == HELD and not self.closed:
+                self.changed.wait(0.5)
+            return self.ways[side]
+
+    def _pump(self, source, sink, side):
+        with suppress(OSError):
+            while data := source.recv(CHUNK):
+                if self.delay_s:
+                    time.sleep(self.delay_s)
+                way = self._wait(side)
+                if way == LOST:
+                    break
+                sink.sendall(data[:len(data) // 2] if way == HALVED else data)
+                if way == HALVED:
+                    break
+            else:   # what was sent before the end still goes on
+                self._wait(side)
+                sink.shutdown(socket.SHUT_WR)
+                return
+        self._end(source)
+        self._end(sink)
+
+    def _end(self, sock):
+        self.conns.discard(sock)
+        with suppress(OSError):
+            sock.shutdown(socket.SHUT_RDWR)
+        sock.close()
+
+
+def idle_port():
+    """A port of the loopback that nobody listens on now."""
+    with socket.socket() as sock:
+        sock.bind((LOOPBACK, 0))
+        return sock.getsockname()[1]
--- /dev/null
+++ b/tests/test_fleet_decisions.py
@@ -0,0 +1,454 @@
+"""The fleet's decisions alone: owning, leases, spreading, pauses, scheduled commands, calendars."""
+
+import json
+from datetime import datetime
+from zoneinfo import ZoneInfo
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gullhold.fleet import owner, schedule
+from gullhold.fleet.calendar import Bad, Calendar
+from gullhold.fleet.calls import DONE, MAYBE, NOT_DONE, Drop, Get, Item, Put, Reply
+from gullhold.fleet.lease import Lease, Terms
+from gullhold.fleet.pace import Moves, Pauses
+from gullhold.fleet.schedule import Kind, Plan, Record, Rule, record_of, recover, text_of
+from gullhold.fleet.spread import Spread
+from gullhold.standins import ownercheck, ownermutants
+
+S = 1_000_000
+
+
+# Leases, pauses, moves
+
+
+def test_a_lease_counts_from_when_we_asked_by_a_clock_that_may_be_slow():
+    lease = Lease(Terms(10, 0.1, 500_000))
+    assert not lease.held(0)
+    lease.kept(7, sent_at=1 * S)
+    assert lease.held(9_499_999) and not lease.held(9_500_000)
+    lease.kept(7, sent_at=0)   # a reply that comes out of turn takes nothing back
+    assert lease.until == 9_500_000 and lease.keep_at() < 4 * S + 200_000
+    lease.kept(8, sent_at=2 * S)
+    assert lease.until == 10_500_000
+    lease.lost()
+    assert not lease.held(2 * S)
+
+
+def test_pauses_grow_and_are_spread_and_moves_are_bounded_over_any_second():
+    pauses = Pauses(100, 1000, lambda: 0.5)
+    assert [pauses.draw() for _ in range(6)] == [75, 150, 300, 600, 750, 750]
+    pauses.reset()
+    assert pauses.draw() == 75
+    moves = Moves(10, 0)
+    assert moves.take(0, 50) == 10 and moves.take(50_000, 50) == 0 and moves.ready_at(50_000) > 50_000
+    assert sum(moves.take(at, 50) for at in range(100_000, 2_000_001, 50_000)) <= 20
+
+
+# Spreading
+
+
+@settings(derandomize=True, max_examples=40, deadline=None)
+@given(st.lists(st.sets(st.sampled_from([f"n{i}" for i in range(9)]), min_size=1), min_size=1, max_size=8))
+def test_duties_move_only_to_who_comes_and_from_who_goes(changes):
+    spread, before, members = Spread([f"d{i}" for i in range(60)]), {}, set()
+    for now in changes:
+        moved = spread.change(now)
+        assert set(spread.owner.values()) <= now
+        for duty, old in before.items():
+            if spread.owner[duty] != old:
+                assert old not in now or spread.owner[duty] not in members
+                assert duty in moved
+        alone = Spread(spread.duties)
+        alone.change(now)
+        assert alone.owner == spread.owner   # whatever came before, all members agree
+        before, members = dict(spread.owner), set(now)
+
+
+def test_duties_are_spread_evenly_and_nobody_owns_where_nobody_is():
+    spread = Spread(range(10_000))
+    spread.change([f"n{i}" for i in range(12)])
+    counts = [list(spread.owner.values()).count(f"n{i}") for i in range(12)]
+    assert max(counts) < 1.2 * 10_000 / 12
+    assert len(spread.change([])) == 10_000 and spread.owner == {}
+
+
+# Owning: every order of events that walks come upon
+
+
+def test_walks_through_losses_pauses_restarts_and_lease_ends_keep_every_promise():
+    met = set()
+    for seed in range(60):
+        met |= ownercheck.walk(seed, 120)
+    assert len(met) > 2000
+
+
+def test_every_order_of_a_few_events_is_gone_through_from_a_fleet_that_has_settled():
+    met, whole = ownercheck.explore(3, 600)
+    assert met >= 300 and whole >= 2
+
+
+@pytest.mark.parametrize("mutant", [
+    ownermutants.NoDriftMargin, ownermutants.TokenNotCompared, ownermutants.LeaseNotLooked,
+    ownermutants.ActsWhileReleasing, ownermutants.MaybeIsDone, ownermutants.ClaimsHeld])
+def test_the_walks_find_decisions_that_are_wrong(mutant):
+    assert ownermutants.find(mutant, 60, 160)
+
+
+def member(duties=("d",), settle_us=0):
+    rule = owner.Rule(Terms(1, 0.1, 0), settle_us, 100, 50_000, 100_000, S)
+    return owner.Owner("a", "x", rule, duties, lambda: 0.5, 0)
+
+
+def joined(duties=("d",), now=0):
+    """A member that is in and owns all."""
+    one = member(duties)
+    one.tick(now)
+    for reply in (Reply(DONE, 1, lease=5, ttl_s=1), Reply(DONE, 1), Reply(DONE, 2), Reply(DONE, 3)):
+        (call,) = [told[0] for what, *told in one.take() if what == owner.CALL]
+        one.reply(now, call, reply)
+    assert one.state == owner.IN and one.tokens == dict.fromkeys(duties, 3)
+    return one
+
+
+def calls(one):
+    return [told[0] for what, *told in one.take() if what == owner.CALL]
+
+
+def test_a_read_from_the_past_is_not_believed():
+    one = member()
+    one.tick(0)
+    one.seen = 9
+    one.reply(0, calls(one)[0], Reply(DONE, 9, lease=5, ttl_s=1))
+    (read,) = calls(one)
+    one.reply(0, read, Reply(DONE, 4, items=(Item("members/ghost", '{"ready": true}', 3),)))
+    assert one.state == owner.READING and not one.members
+
+
+def test_a_key_that_a_lost_call_left_behind_is_found_by_the_audit_and_let_go():
+    one = joined(("d", "e"))
+    one.excess, one.spread.owner["e"] = {}, "b"
+    one._gone("e", "test")
+    one.lease.until = one.audit_at = 6 * S
+    one.lease.until += 100 * S
+    one.tick(6 * S)
+    (audit,) = calls(one)
+    assert audit.purpose == "audit"
+    one.reply(6 * S, audit, Reply(DONE, 9, keys=("members/a", "duties/d", "duties/e")))
+    (look,) = calls(one)
+    assert look.request.acts == (Get("duties/e"),)
+    one.reply(6 * S, look, Reply(DONE, 9, items=(Item("duties/e", '{"nonce": "x"}', 8, 5),)))
+    (release,) = calls(one)
+    assert release.request.when == (("duties/e", 8),) and release.request.acts == (Drop("duties/e"),)
+
+
+def test_an_effect_compares_the_token_and_nothing_is_begun_on_a_lease_that_is_not_sure():
+    one = joined()
+    assert one.may_act("d", 0) == 3 and one.may_act("other", 0) == 0
+    request = one.effect("d", 3, (Put("k", "v"),), (("k", 0),))
+    assert request.when == (("duties/d", 3), ("k", 0)) and request.acts == (Put("k", "v"),)
+    assert one.may_act("d", 900_000 - 1) == 3 and one.may_act("d", 900_000) == 0
+    one.tick(900_000)
+    assert (owner.GONE, "d", "its lease is not sure") in one.take()
+
+
+def test_leaving_frees_all_with_one_call_but_waits_for_work_in_its_middle():
+    one = joined()
+    one.leave(0)
+    assert [call.purpose for call in calls(one)] == ["revoke"]
+    one = joined(("d", "e"))
+    one.occupied("d", True)
+    one.leave(0)
+    (release,) = calls(one)
+    assert release.purpose == "release" and release.about == ("e",)
+    assert one.may_act("d", 0) and not one.may_act("e", 0)
+    one.reply(0, release, Reply(DONE, 7))
+    one.tick(400_000)   # it keeps its lease meanwhile
+    assert [call.purpose for call in calls(one)] == ["keep"]
+    one.occupied("d", False)
+    one.tick(500_000)
+    one.tick(S)   # nothing was heard of either: leaving ends all the same
+    assert one.state == owner.OUT
+
+
+def test_work_in_its_middle_is_not_let_go_for_another_member():
+    one = joined(("d", "e"))
+    one.occupied("d", True)
+    one.excess = {"d": 3}
+    assert one._loose() == []
+    one.occupied("d", False)
+    assert one._loose() == [("d", 3)]
+
+
+# Scheduled commands: what an open record may become
+
+
+REPLAY, UNIQ, ONCE = (Kind(effect, 10 * S, 15 * S, True) for effect in range(3))
+RULE = Rule("a", 60 * S, 3, False, 100_000)
+
+
+def record(state=schedule.INTENT, tries=1, began=1000 * S, due=1000 * S):
+    return Record(due, state, 4, tries, began, "n0")
+
+
+@pytest.mark.parametrize("kind, state, tries, after_s, limit_s, why", [
+    (REPLAY, schedule.INTENT, 1, 5, 10, ""),
+    (REPLAY, schedule.INTENT, 1, 61, 0, "its window is over"),
+    (REPLAY, schedule.INTENT, 3, 5, 0, "3 tries"),
+    (UNIQ, schedule.INTENT, 1, 2, 10, ""),
+    (UNIQ, schedule.INTENT, 1, 10, 4.9, ""),
+    (UNIQ, schedule.INTENT, 1, 14, 0, "forgotten its mark"),
+    (UNIQ._replace(everywhere=False), schedule.INTENT, 1, 2, 0, "not all engines"),
+    (ONCE, schedule.INTENT, 1, 0, 0, "check its effect by hand"),
+    (ONCE, schedule.SHED, 1, 5, 10, ""),
+    (ONCE, schedule.UNDONE, 2, 5, 10, ""),
+    (ONCE, schedule.SHED, 1, 61, 0, "its window is over"),
+])
+def test_an_open_record_is_gone_on_with_as_its_profile_allows(kind, state, tries, after_s, limit_s, why):
+    limit, said = recover(RULE, kind, record(state, tries), 1000 * S + after_s * S)
+    assert limit == limit_s * S and why in said
+
+
+class Store:
+    """A register of a few lines, for one plan; `lose` loses the next reply to a write."""
+
+    def __init__(self):
+        self.items, self.revision, self.token, self.lose = {}, 1, 4, None
+
+    def read(self, prefix):
+        found = [Item(key, *told) for key, told in sorted(self.items.items()) if key.startswith(prefix)]
+        return Reply(DONE, self.revision, items=tuple(found))
+
+    def write(self, token, acts, when):
+        met = token == self.token and all(self.items.get(key, ("", 0))[1] == at for key, at in when)
+        lose, self.lose = self.lose, None
+        if lose == NOT_DONE:
+            return Reply(NOT_DONE)
+        if met:
+            self.revision += 1
+            for act in acts:
+                if isinstance(act, Put):
+                    self.items[act.key] = (act.value, self.revision)
+                else:
+                    self.items.pop(act.key, None)
+        return Reply(MAYBE) if lose else Reply(DONE, self.revision, met=met)
+
+    def records(self):
+        return [record_of(value) for key, (value, _) in sorted(self.items.items()) if "/run/" in key]
+
+
+class Play:
+    """A plan over a store, step by step; what it sends is kept."""
+
+    def __init__(self, kind=REPLAY, rule=RULE, store=None, by="n0", every=S):
+        self.store, self.now, self.sent, self.told = store or Store(), 1000 * S + 1, [], []
+        self.plan = Plan(rule, kind, Calendar("", "UTC", every), by)
+        self.may_act, self.hold = True, False
+
+    def own(self):
+        self.plan.won(self.store.token, self.now)
+        return self.go()
+
+    def go(self, us=0):
+        self.now += us
+        self.plan.step(self.now)
+        while out := self.plan.take():
+            for what, *told in out:
+                if what == schedule.READ:
+                    self.plan.read(self.now, self.store.read(told[0]))
+                elif what == schedule.WRITE:
+                    serial, token, acts, when = told
+                    reply = self.store.write(token, acts, when)
+                    if not self.hold:
+                        self.plan.written(self.now, serial, reply, self.may_act)
+                elif what == schedule.SEND:
+                    self.sent.append(told)
+                elif what == schedule.TELL:
+                    self.told.append(told)
+        return self
+
+    def end(self, state, why=""):
+        self.plan.ended(self.now, state, why)
+        return self.go()
+
+    def states(self):
+        return [(item.due_us // S, item.state) for item in self.store.records()]
+
+
+def test_an_occurrence_is_written_before_it_is_sent_and_after_it_is_answered():
+    play = Play().own()
+    assert not play.sent and not play.store.records()
+    play.go(S)
+    assert play.states() == [(1001, "intent")] and len(play.sent) == 1
+    play.end(schedule.ANSWERED)
+    assert play.states() == [(1001, "answered")] and not play.plan.flight
+    play.go(S)
+    assert len(play.sent) == 2 and play.sent[0][2] != play.sent[1][2]   # each has a mark of its own
+
+
+def test_one_that_is_due_while_the_last_runs_is_skipped_or_waits_and_missed_ones_are_counted():
+    play = Play().own().go(S).go(S)
+    assert play.states() == [(1001, "intent"), (1002, "skipped")] and len(play.sent) == 1
+    play = Play(rule=RULE._replace(wait=True)).own().go(S).go(S)
+    assert play.states() == [(1001, "intent")]
+    play.end(schedule.ANSWERED)
+    assert play.states()[1] == (1002, "intent")
+    late = Play(store=play.store, by="n1")
+    play.store.token, late.now = 9, 1200 * S
+    late.own()
+    skipped = [item for item in play.store.records() if item.state == "skipped"]
+    assert [(item.due_us // S, item.count) for item in skipped] == [(1139, 137), (1200, 60)]
+    assert late.states()[-2] == (1140, "intent")   # what is due and not too late runs
+
+
+@pytest.mark.parametrize("kind, sends, states", [
+    (REPLAY, 1, ["answered"]), (UNIQ, 1, ["answered"]), (ONCE, 0, ["failed"])])
+def test_where_the_owner_vanished_after_the_intent_the_next_one_goes_by_the_profile(kind, sends, states):
+    first = Play(kind).own().go(S)
+    first.store.token = 9
+    second = Play(kind, store=first.store, by="n1")
+    second.now = first.now + 100_000
+    second.own()
+    assert len(second.sent) == sends
+    if sends:
+        assert second.sent[0][2] == first.sent[0][2]   # the same mark
+        second.end(schedule.ANSWERED)
+    assert [item.state for item in first.store.records()] == states
+    assert any(level == "error" for level, *_ in second.told) == (kind is ONCE)
+    first.end(schedule.ANSWERED)   # the first one wakes: its outcome is refused
+    assert [item.state for item in first.store.records()] == states and first.store.records()[0].by != "n2"
+
+
+def test_a_uniqued_send_is_over_while_its_mark_is_known():
+    kind = UNIQ._replace(timeout_us=30 * S)
+    first = Play(kind).own().go(S)
+    assert first.sent[0][4] == 15 * S - 100_000   # its limit counts from the intent, as engines may do
+    first.store.token = 9
+    second = Play(kind, store=first.store)
+    second.now = first.now + 5 * S
+    second.own()
+    assert second.sent[0][4] == 10 * S - 100_000
+
+
+@pytest.mark.parametrize("lost", [MAYBE, NOT_DONE])
+def test_an_intent_whose_reply_was_lost_is_sent_once_and_not_given_up(lost):
+    play = Play(ONCE).own()
+    play.store.lose = lost
+    play.go(S)
+    assert not play.sent
+    play.go(schedule.AGAIN_US)
+    assert len(play.sent) == 1 and play.states()[0] == (1001, "intent")
+    play.store.lose = lost
+    play.end(schedule.ANSWERED).go(schedule.AGAIN_US)
+    assert play.states()[0] == (1001, "answered") and len([s for s in play.sent if s[0] == 1001 * S]) == 1
+
+
+def test_nothing_is_sent_where_the_token_no_longer_holds_when_the_intent_is_known():
+    play = Play(ONCE).own()
+    play.may_act = False
+    play.go(S)
+    assert play.states() == [(1001, "intent")] and not play.sent
+    play.plan.gone()
+    other = Play(ONCE, store=play.store)
+    play.store.token, other.now = 9, play.now
+    other.own()
+    assert other.states()[0] == (1001, "failed") and not other.sent
+
+
+def test_a_shed_try_has_no_effect_and_is_tried_again_a_failure_promises_nothing():
+    play = Play(ONCE).own().go(S).end(schedule.SHED)
+    assert play.states() == [(1001, "shed")]
+    play.go(schedule.AGAIN_US)
+    assert len(play.sent) == 2
+    play.end(schedule.FAILED, "reset")
+    assert play.states() == [(1001, "failed")] and play.told[-1][0] == "error"
+    play = Play(REPLAY).own().go(S).end(schedule.FAILED)
+    assert play.states() == [(1001, "intent")]
+    play.go(schedule.AGAIN_US).end(schedule.ANSWERED)
+    assert play.states() == [(1001, "answered")] and [told[1] for told in play.sent] == [1, 2]
+
+
+def test_while_leaving_nothing_is_begun_and_settled_records_are_bounded():
+    play = Play().own()
+    for _ in range(schedule.KEPT + 15):
+        play.go(S).end(schedule.ANSWERED)
+    assert len(play.store.records()) <= schedule.KEPT + 2
+    sent = len(play.sent)
+    play.plan.leave()
+    play.go(5 * S)
+    assert len(play.sent) == sent
+
+
+STEPS = st.lists(st.tuples(st.sampled_from(["time", "lose", "refuse", "take over", "end", "fail", "shed"]),
+                           st.integers(1, 900_000)), max_size=40)
+
+
+@settings(derandomize=True, max_examples=120, deadline=None)
+@given(st.sampled_from([REPLAY, UNIQ, ONCE]), STEPS)
+def test_whatever_happens_no_send_breaks_its_profile_and_every_occurrence_has_a_record(kind, steps):
+    kind = kind._replace(timeout_us=3 * S, dedup_us=2 * S)
+    store = Store()
+    plays = [Play(kind, store=store).own()]
+    for what, us in steps:
+        play = plays[-1]
+        if what == "take over":   # the old owner sleeps; it may wake and go on with what it knew
+            plays.append(Play(kind, store=store, by=f"n{len(plays)}"))
+            store.token += 1
+            plays[-1].now = play.now
+            plays[-1].own()
+        elif what in ("lose", "refuse"):
+            store.lose = MAYBE if what == "lose" else NOT_DONE
+        elif what == "time":
+            for one in plays:
+                one.go(us)
+        elif play.plan.flight:
+            play.end({"end": schedule.ANSWERED, "fail": schedule.FAILED, "shed": schedule.SHED}[what])
+    for one in plays:
+        for due, _, mark, at, limit in one.sent:
+            assert at + limit <= at + kind.timeout_us and mark == schedule.mark_of("a", due)
+    sent = sorted((told for one in plays for told in one.sent), key=lambda told: told[3])
+    for due in {told[0] for told in sent}:
+        mine = [told for told in sent if told[0] == due]
+        if kind.effect == schedule.NON_REPLAYABLE:
+            shed = [item for item in store.records() if item.due_us == due]
+            assert len(mine) <= (shed[0].tries if shed else 3)
+        if kind.effect == schedule.UNIQUED:
+            assert max(told[3] + told[4] for told in mine) <= mine[0][3] + kind.dedup_us
+    upto = int(store.items.get("plan/a/upto", ("0", 0))[0])
+    known = sum(item.count for item in store.records())
+    if upto and len(store.records()) < schedule.KEPT:
+        assert known == (upto - 1000 * S) // S
+
+
+def test_a_record_is_read_as_it_was_written_and_nonsense_is_none():
+    one = record()
+    assert record_of(text_of(one)) == one
+    assert record_of("{") is None and record_of(json.dumps({"due_us": 1})) is None
+
+
+# Calendars
+
+
+def test_daylight_saving_skips_and_repeats_no_day():
+    calendar = Calendar("30 2 * * *", "Europe/Brussels", 0)
+    zone = ZoneInfo("Europe/Brussels")
+
+    def after(*when):
+        at = calendar.after(int(datetime(*when, tzinfo=zone).timestamp()) * S)
+        return datetime.fromtimestamp(at // S, zone).strftime("%d %H:%M")
+
+    assert after(2026, 3, 28, 12) == "29 03:00"    # 02:30 does not exist that day
+    assert after(2026, 10, 24, 12) == "25 02:30"   # it comes twice, and is due once
+    assert after(2026, 10, 25, 4) == "26 02:30"
+
+
+def test_a_calendar_counts_what_was_missed_and_names_what_it_cannot_use():
+    calendar = Calendar("*/2 * * * * *", "UTC", 0)
+    assert calendar.between(1000 * S, 1009 * S) == (4, 1008 * S)
+    assert Calendar("", "UTC", 300_000).between(1000 * S, 1001 * S) == (3, 1000_800_000)
+    assert calendar.between(1000 * S, 999 * S) == (0, 1000 * S)
+    for bad in (("61 * * * *", "UTC", 0), ("* * * * *", "Mars/Base", 0), ("", "UTC", 0),
+                ("* * * * *", "UTC", 5)):
+        with pytest.raises(Bad):
+            Calendar(*bad)
