--- a/gullhold/standins/fleetcheck.py
+++ b/gullhold/standins/fleetcheck.py
@@ -28,11 +28,23 @@
                     self.held.pop(duty, None)
             elif line["what"] == "txn":
                 self._txn(line)
+            elif line["what"] == "began":
+                self._began(line["keys"])
 
     def owners(self):
         """{duty: (owner, token)} at the end."""
         return {duty: (owner, token) for duty, (owner, token, _) in self.held.items()}
 
+    def _began(self, keys):
+        """A register that was killed: what it committed and had not yet written down is in its keys."""
+        found = {_tail(key): (json.loads(value)["owner"], revision, lease)
+                 for key, value, revision, lease in keys if _tail(key).startswith("duties/")}
+        self.held = {key.removeprefix("duties/"): told for key, told in found.items()}
+        self.leases = defaultdict(set)
+        for duty, (_, revision, lease) in self.held.items():
+            self.leases[lease].add(duty)
+            self.highest[duty] = max(self.highest[duty], revision)
+
     def _txn(self, line):
         when = {_tail(key): revision for key, revision in line["when"]}
         tokens = {key.removeprefix("duties/"): revision for key, revision in when.items()
--- a/gullhold/standins/register/server.py
+++ b/gullhold/standins/register/server.py
@@ -290,7 +290,9 @@
     store = Store(path, sync)
     with open(journal, "a", encoding="utf-8") if journal else open("/dev/null", "w") as lines:
         server = Server((host, int(port)), store, lines if journal else None, scripted)
-        server.note("began", revision=store.revision)
+        # What is there: a kill may have come between a change and its line.
+        server.note("began", revision=store.revision, keys=[
+            [key.decode(), item.value.decode(), item.changed, item.lease] for key, item in store.kv.items()])
         threading.Thread(target=server.expire, daemon=True, name="leases").start()
         ready(server)
         try:
