--- a/gullhold/operator/records.py
+++ b/gullhold/operator/records.py
@@ -207,7 +207,7 @@
 def lines(told, path=""):
     """What was understood, a line a setting."""
     for name, value in told:
-        inner = f"{path}{name}"
+        inner = f"{path}{type(told).model_fields[name].alias or name}"
         if isinstance(value, BaseModel):
             yield from lines(value, f"{inner}.")
         elif isinstance(value, tuple):
