Early cut-offs tell nothing of an engine, and what can't end in time is turned away

A probe logged each stage of every command. 5,586 lookups and 1,662 reports were shed after one send that timed out; for 2,454 of the lookups that send lasted under 0.25 s. At the engine with most of them 55 of 67 sends at 13 s timed out.

Cause, two places in policy.py: _account took a cut-off send's time as its pace, so one cut off after 0.02 s of 0.23 s counted as ten times faster than usual, hid the jam and raised every gateway's share; command() released whatever there was room for, however little time it had.

Change: a send that was cut off sooner than the usual run is passed over; what can't end in time at the best pace seen is shed at once.

Two tests, both fail before.

--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -173,7 +173,10 @@
         if line[0] is cmd:
             self._move(cmd, HELD)
         heappush(self.due, (cmd.last_at, cmd.order, cmd, -1))
-        return self._release() if now < cmd.last_at else self._finish(cmd)
+        # What can't end in time at the best pace seen is turned away, not sent: guards against clients that
+        # give up early, whose sends would only take threads. Harm: one that finds all it reads warm.
+        run = cmd.work / cmd.threads * min(self.best[profile], 1.0)
+        return self._release() if now + run < cmd.last_at else self._finish(cmd)
 
     def streaming(self, now, ident, send):
         """A send's answer has begun: it now belongs to the client."""
@@ -457,6 +460,10 @@
             (mean, wide), off = self.spread[p], need / cmd.need - self.spread[p][0]
             self.spread[p] = mean + off * step, wide + (abs(off) - wide) * step
         pace = max(latency * cmd.threads / work, 0.01)   # of a send cut off too: a jam is not to be hidden
+        # Cut off sooner than the usual run, it says nothing: it would count as fast. Guards against clients
+        # that give up early, whose sends made jammed engines look idle to every gateway.
+        if outcome != api.ANSWERED and pace < self.pace[p]:
+            return
         if outcome == api.ANSWERED:
             self.bias[p] += EASE * (min(max(work / cmd.work, 0.2), 5.0) - 1.0) * self.bias[p]
             self.work_done[be] += work
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -461,3 +461,33 @@
         driver.command(tenant=tenant)
         driver.end(driver.out()[0], api.ANSWERED)
     assert len(gateway.released) < 100
+
+
+def test_a_send_cut_off_sooner_than_the_usual_run_tells_nothing_of_its_engine():
+    """Clients that gave up early had made jammed engines look fast to every gateway."""
+    world = Driver(agreement(profile(), sends_cap=1))
+    world.engines((0, 0, 0, api.READY, 0, 0), full=True)
+    for _ in range(20):
+        ident = world.command()
+        world.wait(300 * MS)
+        world.end(ident, api.ANSWERED)
+    gateway = world.gateway
+    before = gateway._slow(0), gateway.slow, gateway.pace[0]
+    for _ in range(10):
+        ident = world.command(timeout_us=160 * MS)
+        world.wait(20 * MS)
+        world.end(ident, api.TIMED_OUT)
+    assert gateway.pace[0] == before[2] and gateway.slow == before[1]
+    ident = world.command(timeout_us=3000 * MS)
+    world.wait(900 * MS)
+    world.end(ident, api.TIMED_OUT)   # a jam is not hidden
+    assert gateway.pace[0] > before[2] and gateway._slow(0) > 1
+
+
+def test_what_cannot_end_in_time_at_the_best_pace_is_turned_away_and_not_sent():
+    world = Driver(agreement(profile()))
+    world.engines((0, 0, 0, api.READY, 0, 0), full=True)
+    world.command(timeout_us=WORK // 2)
+    assert not world.out() and not world.gateway.commands
+    ident = world.command(timeout_us=WORK + 100 * MS)
+    assert world.out() == [ident]
