--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -111,6 +111,15 @@
         held(rig, 10)
 
 
+def test_the_reply_that_says_who_owns_is_lost():
+    with Rig(members=2, beats=4) as rig:
+        rig.faults(lose=8)   # of the lease, of joining, of claiming
+        rig.start()
+        rig.until(lambda: len({who for who, _ in rig.owners().values()}) == 2 and len(rig.owners()) == 4)
+        assert sum(line["what"] == "reply lost" for line in rig.lines()) == 8
+        rig.until(lambda: held(rig).effects > 10)
+
+
 def test_it_is_handed_over_within_leases_after_a_kill_and_at_once_at_sigterm():
     with Rig(members=3, beats=12) as rig:
         rig.start()
