Clean-up: one piece where two stood, fields that nothing read, and a test that looked mid-move

From reading the change again. host_port reads every HOST:PORT; CPU and memory of a process are read in one place (standins/running); a refused effect is told in one place; the effects' numbers and a million come from where they stand; a member's incarnation is read by owner.since also in `gullhold fleet`. The members of a divider that takes over come from the books in their order, not from a set. Behaviour is as before.

test_staff_see_members_duties_and_occurrences read members and duties one after the other while duties moved, and failed in one of two runs of its file; it now waits until all have settled. Its assertions are as they were.

--- a/benchmarks/owner.py
+++ b/benchmarks/owner.py
@@ -7,13 +7,11 @@
 """
 
 import argparse
-import os
 import random
 import statistics
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor
-from pathlib import Path
 
 from benchmarks import close
 from gullhold.fleet import owner
@@ -23,6 +21,7 @@
 from gullhold.standins import crowd, ownercheck, ownermutants, plancheck
 from gullhold.standins.fleet import Rig
 from gullhold.standins.fleetcheck import Check, marks, sent
+from gullhold.standins.running import cpu_s, resident_mb
 
 BOUNDS = {
     "owners_accepted_at_once": 0, "late_effects_accepted": 0, "late_effects_tried": (50, "least"),
@@ -34,7 +33,6 @@
 DUTIES = 10_000
 SIZES = (50, 200, 1000)
 STEPS = 160                  # of a walk
-TICKS = os.sysconf("SC_CLK_TCK")
 KINDS = {"plain": "read", "marked": "mark", "single": "once"}
 
 
@@ -198,28 +196,14 @@
         rig.start(rig.names[members], operator=False)
         rig.until(lambda: len(rig.owners()) == 36)
         time.sleep(1)
-        before, cpu = sum(rig.counts().values()), [cpu_s(rig, name) for name in rig.names]
+        pids = [rig.members[name].process.pid for name in rig.names]
+        before, cpu = sum(rig.counts().values()), [cpu_s(pid) for pid in pids]
         time.sleep(seconds)
         calls = (sum(rig.counts().values()) - before) / members / seconds
-        used = [cpu_s(rig, name) - old for name, old in zip(rig.names, cpu, strict=True)]
+        used = [cpu_s(pid) - old for pid, old in zip(pids, cpu, strict=True)]
         more = statistics.mean(used[:members]) - used[members]
-        mb = statistics.mean(resident_mb(rig, name) for name in rig.names[:members])
-        return (round(calls, 3), round(more / seconds, 4),
-                round(mb - resident_mb(rig, rig.names[members]), 1))
-
-
-def cpu_s(rig, name):
-    """CPU seconds of a member."""
-    fields = Path(f"/proc/{rig.members[name].process.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
-
-
-def resident_mb(rig, name):
-    """Memory of a member."""
-    for line in Path(f"/proc/{rig.members[name].process.pid}/status").read_text().splitlines():
-        if line.startswith("VmRSS:"):
-            return int(line.split()[1]) / 1024
-    return 0.0
+        mb = statistics.mean(resident_mb(pid) for pid in pids[:members]) - resident_mb(pids[members])
+        return round(calls, 3), round(more / seconds, 4), round(mb, 1)
 
 
 def service(seconds):
--- a/gullhold/budgets/divider.py
+++ b/gullhold/budgets/divider.py
@@ -103,12 +103,12 @@
         return {name: books.dump() for name, books in self.books.items()}
 
     def load(self, rows, now):
-        """Go on from another's books; the members that are there have to join after this."""
+        """Go on from another's books; who stands in them counts as there until left() says otherwise."""
         for name, told in rows.items():
             if name in self.books:
                 self.books[name].load(told, now)
-        for member in {row[0] for told in rows.values() for row in told if not row[6]}:
-            self.members.append(member)
+        there = [member for books in self.books.values() for member in books.parts()]
+        self.members = list(dict.fromkeys(there))   # each once, in the same order for the same books
         self._all_changed()
 
 
--- a/gullhold/budgets/ledger.py
+++ b/gullhold/budgets/ledger.py
@@ -18,10 +18,10 @@
     that lowered them; out: what it said it has under way; ends: (when, amount) of what it could spend.
     """
 
-    __slots__ = ("ends", "gone", "out", "owed", "part", "revision", "seen")
+    __slots__ = ("ends", "gone", "out", "owed", "part", "seen")
 
     def __init__(self):
-        self.part, self.revision, self.seen, self.out = 0, 0, 0, 0
+        self.part, self.seen, self.out = 0, 0, 0
         self.owed, self.ends, self.gone = [], [], False
 
     def charge(self, now):
@@ -70,7 +70,7 @@
                 continue
             if target < entry.part:
                 insort(entry.owed, (revision, entry.part))
-                entry.part, entry.revision, changed[name] = target, revision, target
+                entry.part = changed[name] = target
         free = self.free(now)
         for name, target in sorted(targets.items(), key=lambda row: row[1] - self._part(row[0])):
             entry = self.entries[name]
@@ -79,7 +79,7 @@
             before = entry.charge(now)
             part = min(target, before + max(0, free))   # what it is charged with anyway costs nothing
             if part > entry.part:
-                entry.part, entry.revision, changed[name] = part, revision, part
+                entry.part = changed[name] = part
                 free -= entry.charge(now) - before
         return changed
 
@@ -123,15 +123,15 @@
 
     def dump(self):
         """The books as plain values, to be written with each write of parts, in the same transaction."""
-        return [[name, entry.part, entry.revision, entry.seen, entry.out, entry.owed, entry.gone,
+        return [[name, entry.part, entry.seen, entry.out, entry.owed, entry.gone,
                  [amount for _, amount in entry.ends]] for name, entry in self.entries.items()]
 
     def load(self, rows, now):
         """Go on from books that another wrote, whose clock is not ours: what was to end later ends a whole
         time from now. Who is there must have been asked after now."""
         time_us = self.window_us if self.kind == WINDOWED else self.linger_us
-        for name, part, revision, seen, out, owed, gone, ends in rows:
+        for name, part, seen, out, owed, gone, ends in rows:
             entry = self.entries[name] = Entry()
-            entry.part, entry.revision, entry.seen, entry.out, entry.gone = part, revision, seen, out, gone
+            entry.part, entry.seen, entry.out, entry.gone = part, seen, out, gone
             entry.owed = [tuple(row) for row in owed]
             entry.ends = [(now + time_us, amount) for amount in ends]
--- a/gullhold/fleet/calendar.py
+++ b/gullhold/fleet/calendar.py
@@ -9,7 +9,8 @@
 
 from cronsim import CronSim, CronSimError
 
-MILLION = 1_000_000
+from gullhold.fleet.lease import MILLION
+
 BEHIND_MOST = 10_000   # missed occurrences that are counted one by one; older ones are "at least so many"
 
 
--- a/gullhold/fleet/driver.py
+++ b/gullhold/fleet/driver.py
@@ -17,7 +17,7 @@
 from gullhold.fleet.calendar import Bad, Calendar
 from gullhold.fleet.calls import DONE, Put, Read
 from gullhold.fleet.errands import Desk
-from gullhold.fleet.lease import Terms
+from gullhold.fleet.lease import MILLION, Terms
 from gullhold.fleet.pace import Pauses
 from gullhold.fleet.register import Register
 from gullhold.net.front import Reader
@@ -28,7 +28,6 @@
 IDLE_S = 0.5              # s, the longest sleep of the deciding thread: a clock that jumps is noticed by then
 QUIET_LEASES = 2          # lease times for which a watch may say nothing before it is opened anew
 LEAST_S = 0.002           # s, the shortest: what is due at once and can't be done now does not spin
-MILLION = 1_000_000
 
 
 class Unusable(Exception):
@@ -97,8 +96,7 @@
     def beaten(self, duty, token, reply):
         """A write's reply."""
         self.out.discard(duty)
-        if reply.proof == DONE and not reply.met:
-            self.fleet.event("warning", "late effect refused", duty=duty, token=token)
+        self.fleet.refused(duty, token, reply)
 
 
 class Fleet:
@@ -259,6 +257,11 @@
         logger.bind(**fields).log(level.upper(), "fleet: {}{}", text, "".join(
             f"; {name} {value}" for name, value in facts.items() if value not in ("", None)))
 
+    def refused(self, duty, token, reply):
+        """Say so where the register refused an effect."""
+        if reply.proof == DONE and not reply.met:
+            self.event("warning", "late effect refused", duty=duty, token=token)
+
     # What comes to the deciding thread
 
     def _on_replied(self, call, reply):
@@ -290,8 +293,7 @@
         self.plans[duty].read(unix(), reply)
 
     def _on_plan_written(self, duty, serial, token, reply):
-        if reply.proof == DONE and not reply.met:
-            self.event("warning", "late effect refused", duty=duty, token=token)
+        self.refused(duty, token, reply)
         may_act = self.owner.may_act(duty, clock()) == token
         self.plans[duty].written(unix(), serial, reply, may_act)
 
--- a/gullhold/fleet/errands.py
+++ b/gullhold/fleet/errands.py
@@ -27,8 +27,7 @@
     def __init__(self, core, reader, tell, bits):
         self.core, self.reader, self.tell, self.bits = core, reader, tell, bits
         self.open, self.waiting, self.taken_back = {}, {}, set()
-        self.taken = self.settled = 0
-        self.half, self.pipe, self.serial = False, _Open(), count(1)
+        self.settled, self.half, self.pipe, self.serial = 0, False, _Open(), count(1)
 
     def ask(self, command, limit_us, at, mark, again):
         """Hand a command to the core; its number, or None with why where the agreement has no room for it.
@@ -47,7 +46,6 @@
             request = self.reader.request(fields, command.statement.encode(), "fleet", "fleet")
         except Refused as why:
             return None, str(why)
-        self.taken += 1
         self.waiting[number] = True
         self.core.counters.add("fleet commands")
         self.core.post(self.core.execute, self, number, request, at)
--- a/gullhold/fleet/owner.py
+++ b/gullhold/fleet/owner.py
@@ -41,7 +41,7 @@
     return told if isinstance(told, dict) else {}
 
 
-def _since(told, revision):
+def since(told, revision):
     """The incarnation of the process that wrote a member's key: the revision of its first joining."""
     return told.get("since") or revision
 
@@ -158,7 +158,7 @@
             if told is None:
                 self._lose(now, "its key ended")
             elif told.get("nonce") != self.nonce:
-                if _since(told, revision) > self.incarnation:
+                if since(told, revision) > self.incarnation:
                     self._superseded(now)
                 else:   # an earlier process found our key gone: we write over it
                     self._lose(now, "its key ended")
@@ -359,8 +359,8 @@
         own = next((item for item in reply.items if item.key == MEMBERS + self.name), None)
         ours = own is not None and written(own.value).get("nonce") == self.nonce
         self.look_again = False
-        since = _since(written(own.value), own.revision) if own is not None and not ours else 0
-        if self.incarnation and since > self.incarnation:
+        later = own is not None and not ours and since(written(own.value), own.revision) > self.incarnation
+        if self.incarnation and later:
             self._superseded(now)
             return
         self.out.append((WATCH, reply.revision + 1))
--- a/gullhold/fleet/register.py
+++ b/gullhold/fleet/register.py
@@ -26,6 +26,7 @@
     Reply,
     Revoke,
 )
+from gullhold.net import host_port
 
 API = "/v3/"           # stated, so that no call is spent on asking for the version
 NOT_FOUND = 5          # the interface's code of what is not there
@@ -48,9 +49,9 @@
     """One session with the register, for one thread. address: HOST:PORT; prefix: of all our keys."""
 
     def __init__(self, address, prefix, timeout_s):
-        host, _, port = address.rpartition(":")
+        host, port = host_port(address)
         self.prefix, self.timeout_s = prefix, timeout_s
-        self.client = Etcd3Client(host=host, port=int(port), timeout=timeout_s, api_path=API)
+        self.client = Etcd3Client(host=host, port=port, timeout=timeout_s, api_path=API)
         self.client.session.trust_env = False   # no proxy of the environment stands between
 
     def call(self, request):
--- a/gullhold/fleet/schedule.py
+++ b/gullhold/fleet/schedule.py
@@ -11,12 +11,12 @@
 from typing import NamedTuple
 
 from gullhold.fleet.calls import DONE, Drop, Put
+from gullhold.interface import NON_REPLAYABLE, REPLAYABLE, UNIQUED
 
 # States of an occurrence. INTENT: it may have been sent. SHED, UNDONE: the last try provably had no effect,
 # and another may follow. The rest are final.
 INTENT, SHED, UNDONE, ANSWERED, FAILED, SKIPPED = "intent", "shed", "undone", "answered", "failed", "skipped"
 OPEN = (INTENT, SHED, UNDONE)
-REPLAYABLE, UNIQUED, NON_REPLAYABLE = range(3)   # as the interface numbers them
 PLAN = "plan/"
 READ, WRITE, SEND, BUSY, TELL = range(5)   # what a Plan hands out
 KEPT = 20                 # settled records that stay, for staff and for who owns the command next
--- a/gullhold/fleet/show.py
+++ b/gullhold/fleet/show.py
@@ -10,10 +10,10 @@
 from gullhold.fleet import owner, schedule
 from gullhold.fleet.calls import DONE, Read
 from gullhold.fleet.driver import KEYS
+from gullhold.fleet.lease import MILLION
 from gullhold.fleet.register import Register
 
 TIMEOUT_S = 3.0
-MILLION = 1_000_000
 
 
 def _when(unix_us):
@@ -30,7 +30,7 @@
             counts[name] = counts.get(name, 0) + 1
         return [{"member": item.key.removeprefix(owner.MEMBERS),
                  "ready": bool(owner.written(item.value).get("ready")),
-                 "incarnation": owner.written(item.value).get("since") or item.revision,
+                 "incarnation": owner.since(owner.written(item.value), item.revision),
                  "duties": counts.get(item.key.removeprefix(owner.MEMBERS), 0)}
                 for item in read(owner.MEMBERS)]
     if what == "duties":
--- a/gullhold/standins/fleet.py
+++ b/gullhold/standins/fleet.py
@@ -15,9 +15,10 @@
 
 import requests
 
-from gullhold.net import service
-from gullhold.standins import LOOPBACK, PATIENCE_S
+from gullhold.net import host_port, service
+from gullhold.standins import PATIENCE_S
 from gullhold.standins.deployment import config
+from gullhold.standins.fleetcheck import Check
 from gullhold.standins.relay import HELD, OPEN, Relay
 from gullhold.standins.running import ROOT, free_address
 from gullhold.standins.working import WorkingEngine
@@ -47,7 +48,7 @@
     def __init__(self, rig, name):
         self.name, self.relay, self.process = name, Relay(rig.register_address), None
         self.listen = free_address()
-        self.address = (LOOPBACK, int(self.listen.rpartition(":")[2]))
+        self.address = host_port(self.listen)
         self.folder = rig.path / name
         self.folder.mkdir()
         self.log, self.events = self.folder / "log", self.folder / "events"
@@ -224,7 +225,6 @@
 
     def owners(self):
         """Who owns each duty by the register's journal: {duty: (member, token)}."""
-        from gullhold.standins.fleetcheck import Check  # noqa: PLC0415
         return Check(self.lines()).owners()
 
     def owner(self, duty, other_than=""):
--- a/gullhold/standins/register/server.py
+++ b/gullhold/standins/register/server.py
@@ -15,6 +15,7 @@
 from collections import Counter
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 
+from gullhold.net import host_port
 from gullhold.standins.register.store import Dropped, Store
 
 LOOK_S = 0.02       # between looks for leases that have run out
@@ -286,10 +287,9 @@
 
 def serve(listen, path, sync=True, journal=None, scripted=False, ready=lambda server: None):
     """Serve at HOST:PORT until interrupted; path: the store's file."""
-    host, _, port = listen.rpartition(":")
     store = Store(path, sync)
     with open(journal, "a", encoding="utf-8") if journal else open("/dev/null", "w") as lines:
-        server = Server((host, int(port)), store, lines if journal else None, scripted)
+        server = Server(host_port(listen), store, lines if journal else None, scripted)
         # What is there: a kill may have come between a change and its line.
         server.note("began", revision=store.revision, keys=[
             [key.decode(), item.value.decode(), item.changed, item.lease] for key, item in store.kv.items()])
--- a/gullhold/standins/relay.py
+++ b/gullhold/standins/relay.py
@@ -5,7 +5,8 @@
 import time
 from contextlib import suppress
 
-from gullhold.standins import LOOPBACK, listening
+from gullhold.net import host_port
+from gullhold.standins import listening
 
 THERE, BACK = "there", "back"   # from who connects to who listens, and the other way
 OPEN, HELD, LOST, HALVED = "open", "held", "lost", "halved"
@@ -21,8 +22,7 @@
     """
 
     def __init__(self, target):
-        host, _, port = target.rpartition(":")
-        self.target, self.delay_s = (host, int(port)), 0.0
+        self.target, self.delay_s = host_port(target), 0.0
         self.ways, self.changed = {THERE: OPEN, BACK: OPEN}, threading.Condition()
         self.conns, self.closed = set(), False
         self.sock, self.address = listening()
@@ -97,10 +97,3 @@
         with suppress(OSError):
             sock.shutdown(socket.SHUT_RDWR)
         sock.close()
-
-
-def idle_port():
-    """A port of the loopback that nobody listens on now."""
-    with socket.socket() as sock:
-        sock.bind((LOOPBACK, 0))
-        return sock.getsockname()[1]
--- a/gullhold/standins/running.py
+++ b/gullhold/standins/running.py
@@ -41,6 +41,20 @@
     return tree
 
 
+def cpu_s(pid):
+    """CPU seconds that a process has used."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS
+
+
+def resident_mb(pid):
+    """Memory of a process now."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS:"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
 class Running:
     """Engines and a gateway, from entering to leaving.
 
@@ -96,12 +110,8 @@
 
     def cpu_s(self):
         """CPU seconds that the gateway has used."""
-        fields = Path(f"/proc/{self.process.pid}/stat").read_text().rpartition(")")[2].split()
-        return (int(fields[11]) + int(fields[12])) / TICKS
+        return cpu_s(self.process.pid)
 
     def resident_mb(self):
         """Memory of the gateway now."""
-        for line in Path(f"/proc/{self.process.pid}/status").read_text().splitlines():
-            if line.startswith("VmRSS:"):
-                return int(line.split()[1]) / 1024
-        return 0.0
+        return resident_mb(self.process.pid)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -8,6 +8,7 @@
 
 from gullhold.fleet.calls import DONE, MAYBE, NOT_DONE, Get, Grant, Held, Item, Keep, Put, Read, Revoke, Txn
 from gullhold.fleet.register import Register
+from gullhold.fleet.spread import Spread
 from gullhold.operator import records
 from gullhold.standins.client import Caller
 from gullhold.standins.fleet import Rig
@@ -363,7 +364,10 @@
     from gullhold.__main__ import main  # noqa: PLC0415
     with Rig(members=2, beats=3, scheduled=[scheduled("a", "read")]) as rig:
         rig.start()
-        rig.until(lambda: len(rig.owners()) == 4 and Check(rig.lines()).occurrences())
+        settled = Spread(["schedule/a", "beat/0", "beat/1", "beat/2"])
+        settled.change(["n0", "n1"])   # nothing moves any more between one look and the next
+        rig.until(lambda: {duty: who for duty, (who, _) in rig.owners().items()} == settled.owner)
+        rig.until(lambda: Check(rig.lines()).occurrences())
         found = {}
         for what in ("members", "duties", "history"):
             words = ["fleet", what, "--register", rig.register_address, "--name", "rig"]
