Module: one call that makes the fleet's budgets bind in place of even parts

Need: a gateway divides what the fleet may do by the stated number of managers; a budget that belongs to the fleet has to bind where it has a part of one. Change: Gateway.allot(now, parts); a send asks its parts for room and gives back at its end; what held commands lack is told back. No part of a kind: today's way, to the letter.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -55,6 +55,7 @@
         self.owed, self.txns, self.engines, self.links = {}, {}, {}, set()
         self.leaving_at, self.settled_at, self.stopped, self.known = 0, 0, False, False
         self.closed = False   # what comes now is turned away at once
+        self.lacking = lambda rows: None
         self.sweep_us = max(deal.connect_us, 100_000)   # between looks at links: time to come up
         self.share = max(2, isqrt(deal.streams))   # sends on a shared link: few links, few lost with one
         self.silent_us = deal.note_us + self.sweep_us    # a link with a send out says something by then
@@ -229,8 +230,16 @@
     def _act_log(self, text):
         logger.info("module: {}", text)
 
+    def _act_lacks(self, rows):
+        self.lacking(rows)
+
     ACTIONS = {api.SEND: _act_send, api.TERMS: _act_terms, api.CANCEL: _act_cancel, api.SHED: _act_shed,
-               api.FAIL: _act_fail, api.TIMER: _act_timer, api.LOG: _act_log}
+               api.FAIL: _act_fail, api.TIMER: _act_timer, api.LOG: _act_log, api.LACKS: _act_lacks}
+
+    def allot(self, parts, lacking):
+        """The fleet's budgets bind, or have changed; lacking(rows) hears what held commands lack."""
+        self.lacking = lacking
+        self._ask(None, self.gateway.allot, parts)
 
     # Clients
 
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -7,7 +7,7 @@
 from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
-from math import exp
+from math import ceil, exp
 from random import Random
 from statistics import median
 
@@ -59,6 +59,7 @@
         self.need, self.dataset, self.order, self.entry, self.state = need, dataset, order, 0, BEHIND
         self.last_at, self.threads = timeout_at - MARGIN_US, kind.threads   # after last_at nothing is started
         self.sends, self.engine, self.sent_at, self.ran_engine, self.ran_at, self.done = 0, -1, 0, -1, 0, 0.0
+        self.began, self.stays = (), ()   # under the fleet's budgets: of its send, and until it has ended
 
 
 def mix(one, other):
@@ -116,7 +117,7 @@
         self.traffic, self.traffic_at = self.allowance / agreement.managers * TRAFFIC_US / 1e6, now
         self.part, self.slow, self.total, self.armed = 1.0, 1.0, 0, None
         self.zeta, self.rose, self.turn, self.rounds = QUOTA[1], False, 0, 0
-        self.prior = 1.0   # least usual work
+        self.prior, self.parts = 1.0, None   # least usual work; our parts of the fleet's budgets
         self.index, self.ids, self.free, self.ready, self.near = {}, [], [], [], []
         vars(self).update({name: [] for name in ENGINE})   # parallel arrays under the dense index
 
@@ -176,7 +177,51 @@
         # What can't end in time at the best pace seen is turned away, not sent: guards against clients that
         # give up early, whose sends would only take threads. Harm: one that finds all it reads warm.
         run = cmd.work / cmd.threads * min(self.best[profile], 1.0)
-        return self._release() if now + run < cmd.last_at else self._finish(cmd)
+        fits = now + run < cmd.last_at and self._take(cmd)
+        return self._release() if fits else self._finish(cmd)
+
+    def allot(self, now, parts):
+        """Budgets of the fleet bind, in place of even parts; called again when a part has changed.
+
+        parts(budget, of what) is our part, an object with most(), may(), begin() and over(); None: the fleet
+        has no such budget, and we go on as without. The last result tells what held commands lack.
+        """
+        self.now, self.out, self.parts = now, [], parts
+        self._release()
+        held, n = [cmd for cmd in self.commands.values() if cmd.state == HELD], max(1, len(self.ready))
+        found = [(api.FURTHER, 0, sum(cmd.sends > 0 for cmd in held)), (api.SHARE, 0, ceil(self.traffic))]
+        needs = [(cmd.threads, ceil(cmd.need), cmd.work) for cmd in held] or [(0, 0, 0)]
+        # Each engine could take an even part of what is held, or the largest of it.
+        threads, memory, work = (max(*rows, ceil(sum(rows) / n)) for rows in zip(*needs, strict=True))
+        for be in self.ready:
+            found += [(api.THREADS, self.ids[be], threads), (api.MEMORY, self.ids[be], memory)]
+            if self._cold(be):
+                found.append((api.COLD, self.ids[be], self._cold_part(work, be)))
+        self.out.append((api.LACKS, tuple(found)))
+        return self.out
+
+    def _part(self, budget, of):
+        return self.parts(budget, of) if self.parts else None
+
+    def _take(self, cmd):
+        """Whether its tenant may have one more command open, and taken, by the fleet's budgets."""
+        parts = [part for budget in (api.OPEN, api.TAKEN) if (part := self._part(budget, cmd.tenant))]
+        if may := all(part.may(1) for part in parts):
+            cmd.stays = parts
+        for part in parts:
+            part.begin(1) if may else part.refused(1)   # a refusal is demand
+        return may
+
+    def _claims(self, cmd, be):
+        """What a send takes of our parts of the fleet's budgets: (part, how much) each."""
+        if not self.parts:
+            return ()
+        ident, rows = self.ids[be], [(api.THREADS, cmd.threads), (api.MEMORY, ceil(self._grant(cmd, be)))]
+        if self._cold(be):
+            rows.append((api.COLD, self._cold_part(cmd.work, be)))
+        rows = [(self.parts(budget, ident), n) for budget, n in rows]
+        rows.append((self.parts(api.FURTHER, 0) if cmd.sends else None, 1))
+        return [(part, n) for part, n in rows if part and n]
 
     def streaming(self, now, ident, send):
         """A send's answer has begun: it now belongs to the client."""
@@ -200,6 +245,9 @@
         if cmd is None or send != cmd.sends - 1 or cmd.state not in (OUT, STREAMING, LEAVING, ORPHAN):
             return self.out
         be, state = cmd.engine, cmd.state
+        for part, n in cmd.began:   # what was given up may run on for a moment
+            part.over(n, outcome not in (api.TIMED_OUT, api.RESET, api.CANCELLED))
+        cmd.began = ()
         self._account(cmd, be, outcome, latency, cost, need)
         cmd.taken_at = 0 if outcome == api.ERROR else cmd.taken_at
         if outcome not in api.NEVER_RAN and cmd.ran_engine < 0:
@@ -266,6 +314,8 @@
         if to == HELD:
             self._hold(cmd)
         if to == ENDED:
+            for part in cmd.stays:
+                part.over(1)
             insort(self.taken, cmd.taken_at)   # widens the budget now that it is known to be no bad client's
             del self.commands[cmd.id]
             line = self.lines.get(cmd.key) if cmd.kind.ordered else None
@@ -332,7 +382,7 @@
             while times and times[0] <= self.now - self.deal.extra_us:
                 times.popleft()
         return self.now < cmd.last_at and self._may_resend(cmd) and (not rests if not cmd.sends else (
-            self.deal.extra_free is None or
+            self.deal.extra_free is None or self._part(api.FURTHER, 0) or
             len(self.extras) + 1 <= self.deal.extra_free + self.deal.extra_share * len(self.taken)))
 
     def _allowed(self, cmd, be):
@@ -344,20 +394,33 @@
                 kind.kinds is not None and self.kind[be] not in kind.kinds) or (
                 group and group[be] != group[cmd.ran_engine]):
             return False
-        if not 0 < self.born[be] > self.now - self.deal.cold_us:
+        if not self._cold(be):
             return True
-        # A cold engine gets our even part of what it can stand (its capacity taken to grow half as fast as a
-        # line); a part under one command is rounded by a lot for each window: all together expect the sum.
+        # A cold engine gets our even part of what it can stand; a part under one command is rounded by a lot
+        # for each window: all together expect the sum. A budget of the fleet for it holds the sum by itself.
         if self.ticket_at[be] <= self.now - self.deal.fall_us:
             self.ticket[be], self.ticket_at[be] = self.draw(), self.now
         sent = sum(work for at, work in self.cold_sent[be] if at > self.now - self.deal.fall_us)
+        budget = self._stands(be)
+        return cmd.work <= COLD_PART[1] * budget and (self._part(api.COLD, self.ids[be]) is not None or (
+            sent + self.ticket[be] * cmd.work <= COLD_PART[0] * budget / self.deal.managers))
+
+    def _cold(self, be):
+        return 0 < self.born[be] > self.now - self.deal.cold_us
+
+    def _stands(self, be):
+        """Work that a cold engine stands in a window, its capacity taken to grow half as fast as a line."""
         warm = (self.now - self.born[be]) / self.deal.cold_us * (1 - self.deal.cold_from) / 2
-        budget = self.deal.fall_multiple * (self.deal.cold_from + warm) * self.cores[be] * self.deal.fall_us
-        return cmd.work <= COLD_PART[1] * budget and (
-            sent + self.ticket[be] * cmd.work <= COLD_PART[0] * budget / self.deal.managers)
+        return self.deal.fall_multiple * (self.deal.cold_from + warm) * self.cores[be] * self.deal.fall_us
+
+    def _cold_part(self, work, be):
+        """Of all that we may expect of a cold engine in a window, in millionths."""
+        return ceil(work * 1e6 / max(1.0, COLD_PART[0] * self._stands(be)))
 
     def _share(self):
         """Our share of the fleet: our part of the traffic where its whole is stated, else an even one."""
+        if part := self._part(api.SHARE, 0):
+            return self.part * part.most() / 1e6
         if not self.allowance:
             return self.part / self.deal.managers
         rate = self.traffic * exp((self.traffic_at - self.now) / TRAFFIC_US) * 1e6 / TRAFFIC_US
@@ -376,7 +439,9 @@
 
     def _limit(self, be):
         """The bound on our threads there: the cap, and under pressure the fit or the sample being taken."""
-        cap = THREADS_A_CORE * self.cores[be] * self._share() / max(1.0, self._slow(be))
+        part = self._part(api.THREADS, self.ids[be])
+        cap = part.most() if part else THREADS_A_CORE * self.cores[be] * self._share()
+        cap /= max(1.0, self._slow(be))
         if self.stage[be] and self._pressed(be):
             return cap * (1.0, SAMPLE_AT[1], SAMPLE_AT[0])[self.stage[be] - 1]
         return min(cap, self.bound[be]) if self.bound[be] and self._pressed(be) else cap
@@ -398,6 +463,8 @@
 
     def _room_at_all(self, cmd):
         """The sum of our bounds over the fleet, with slack for chance: many that send "one" each flood it."""
+        if self.ready and self._part(api.THREADS, self.ids[self.ready[0]]):
+            return True   # each engine's threads are held by the fleet's budget
         bound = THREADS_A_CORE * self._share() * self.ready_cores
         bound += SLACK * (bound * max(kind.threads for kind in self.deal.profiles)) ** 0.5
         return not self.total or self.total + cmd.threads <= bound * (1.0 if cmd.short else LONG_PART)
@@ -408,7 +475,8 @@
         most = SICK[0] * (1 if cmd.short and cmd.kind.effect == api.REPLAYABLE else SICK[2])
         return self.now >= self.full_until[be] and (
             not self.running[be] or self.threads[be] + cmd.threads <= cap) and self._allowed(cmd, be) and (
-            self.failed[be] * self._fresh(self.failed_at[be]) <= most + SICK[1] * self.usual_failed)
+            self.failed[be] * self._fresh(self.failed_at[be]) <= most + SICK[1] * self.usual_failed) and (
+            all(part.may(n) for part, n in self._claims(cmd, be)))
 
     def _choose(self, cmd):
         """Two drawn at random from the data set's homes (all gateways rank them alike), and one from all."""
@@ -531,15 +599,21 @@
             del self.held[tenant]
         return sent
 
+    def _grant(self, cmd, be):
+        """MB that a send is granted there."""
+        (mean, wide), of_kind = self.spread[cmd.profile], self.deal.kind_memory_mb
+        memory = of_kind[self.kind[be]] if self.kind[be] < len(of_kind) else 0.0
+        return min(cmd.need * (mean + NEED[2] * wide), self.deal.most_grant * memory or float("inf"))
+
     def _send(self, cmd, be):
-        deal, (mean, wide) = self.deal, self.spread[cmd.profile]
-        memory = deal.kind_memory_mb[self.kind[be]] if self.kind[be] < len(deal.kind_memory_mb) else 0.0
+        deal, cmd.began = self.deal, self._claims(cmd, be)
+        for part, n in cmd.began:
+            part.begin(n)
         if deal.heeds_grants or deal.heeds_priority:
-            grant = min(cmd.need * (mean + NEED[2] * wide), deal.most_grant * memory or float("inf"))
-            self.out.append((api.TERMS, cmd.id, grant, 3 if cmd.short else 1))
+            self.out.append((api.TERMS, cmd.id, self._grant(cmd, be), 3 if cmd.short else 1))
         if cmd.sends:
             self.extras.append(self.now)
-        if self.born[be] > self.now - deal.cold_us:
+        if self._cold(be):
             self.cold_sent[be].append((self.now, cmd.work))
             self.ticket_at[be] = 0
         if cmd.kind.loads:
