Budgets: an explorer of the decisions, mutants; what changed while a divider read was lost

A report that was given up could land over a newer one; reports now compare their key's last revision.

--- a/gullhold/budgets/driver.py
+++ b/gullhold/budgets/driver.py
@@ -9,7 +9,7 @@
 from gullhold.budgets.demand import Teller
 from gullhold.budgets.divider import Budget
 from gullhold.budgets.purse import Purses, Rule
-from gullhold.fleet.calls import DONE, Put, Read, Txn
+from gullhold.fleet.calls import DONE, Get, Put, Read, Txn
 
 OF = {"threads": api.THREADS, "memory": api.MEMORY, "open": api.OPEN, "further": api.FURTHER,
       "cold": api.COLD, "taken": api.TAKEN, "share": api.SHARE}   # the operator's words
@@ -83,6 +83,7 @@
             fleet.owner.lease, clock)
         self.teller, self.dividing = Teller(LEAST_US), duty.Dividing(budgets)
         self.lease, self.told, self.cut = 0, {}, False      # reports are for this lease; parts as last told
+        self.revision = 0                                   # of our report, as the register has it
         self.looking, self.look_at, self.writing, self.known = False, 0, False, False
         self.pending = []                                   # what the core's thread is to be told
         self.leaving, self.given_back = False, False
@@ -120,7 +121,7 @@
         """Look at what is used, tell it, divide."""
         lease = self.fleet.owner.lease
         if lease.id and lease.id != self.lease:
-            self.lease, self.known, self.told = lease.id, False, {}
+            self.lease, self.known, self.told, self.revision = lease.id, False, {}, 0
             self.teller.forget()
             self.pending.append((lease.id, 0, {}))
         if not self.looking and (self.pending or now >= self.look_at):
@@ -153,8 +154,10 @@
         return f"{self.fleet.name}/{self.lease:x}"
 
     def _report(self, seen, told, left=False):
-        lease = 0 if left else self.lease   # what says that we left stays until the divider has read it
-        return Txn((), (Put(duty.ASKS + self._key(), duty.report_text(seen, told, left), lease),))
+        """Compared with the last one: a call that was given up can't put an older word over a newer."""
+        key, lease = duty.ASKS + self._key(), 0 if left else self.lease   # the last one stays till it is read
+        text = duty.report_text(seen, told, left)
+        return Txn(((key, self.revision),), (Put(key, text, lease),), (Get(key),))
 
     def _give_back(self):
         """The last word, when the core's thread has ended and nothing is spent any more: what may still run,
@@ -172,9 +175,14 @@
     def reported(self, lease, reply):
         """A report's reply."""
         self.writing = False
-        if reply.proof != DONE:
+        if lease != self.lease:
+            return
+        if reply.proof != DONE or not reply.met:   # what stands is compared with from now on, and told anew
+            self.revision = reply.items[0].revision if reply.items else 0
             self.teller.forget()
-        elif lease == self.lease and not self.known:
+            return
+        self.revision = reply.revision
+        if not self.known:
             self.known = True
             self.lane("reports").put(Read(f"{duty.PARTS}{self._key()}"), "rows_read", lease)
 
@@ -214,7 +222,7 @@
         while out := self.dividing.take():
             for what, *told in out:
                 if what == duty.READ:
-                    self.lane("dividing").put(Read(told[0]), "books_read")
+                    self.lane("dividing").put(Read(told[1]), "books_read", told[0])
                 elif what == duty.WRITE:
                     serial, token, acts, when = told
                     self.lane("dividing").put(self.fleet.owner.effect(duty.DUTY, token, acts, when),
--- a/gullhold/budgets/duty.py
+++ b/gullhold/budgets/duty.py
@@ -60,14 +60,16 @@
     """The duty while we own it. Everything it wants done is in take(); due() is when to step(). Times are us
     of a monotonic clock.
 
-    Handed out: (READ, prefix), answered by read(); (WRITE, serial, token, acts, when), answered by written();
-    (FOLLOW, revision): changes of reports from there on, to changed(); (TELL, level, text, facts).
+    Handed out: (READ, serial, prefix), answered by read(); (WRITE, serial, token, acts, when), answered by
+    written(); (FOLLOW, revision): changes of reports from there on, to changed(); (TELL, level, text, facts).
     """
 
     def __init__(self, budgets, weights=None, make=Divider):
         self.budgets, self.weights, self.make = budgets, weights, make
         self.token, self.out, self.serials = 0, [], count(1)
-        self.reading, self.writing, self.again_at, self.loaded = False, None, 0, False
+        self.reading, self.writing = None, None   # serials of the calls under way
+        self.again_at, self.loaded = 0, False
+        self.early = []   # changes that came before the reply to READ: it may not show them
         self.divider, self.fence, self.revision = None, 0, 0
         self.dirty, self.gone, self.write_number = {}, {}, 0   # members to write; whose keys to take away
         self.last_at, self.moves, self.writes = 0, 0, 0
@@ -79,7 +81,7 @@
 
     def won(self, token, now):
         """The duty is ours, under this token."""
-        self.token, self.serials, self.writing, self.reading = token, count(1), None, False
+        self.token, self.serials, self.writing, self.reading = token, count(1), None, None
         self.loaded, self.again_at = False, 0
         self.step(now)
 
@@ -101,8 +103,8 @@
         if not self.token or self.reading or self.writing or now < self.again_at:
             return
         if not self.loaded:
-            self.reading = True
-            self.out.append((READ, ROOT))
+            self.reading, self.early = (self.token, next(self.serials)), []
+            self.out.append((READ, self.reading, ROOT))
         elif now >= self.last_at + LEAST_US:
             self._divide(now)
 
@@ -127,7 +129,7 @@
             del self.gone[member]
         self.writes += 1
         self.moves += sum(map(len, found.values()))
-        self.writing, self.last_at = next(self.serials), now
+        self.writing, self.last_at = (self.token, next(self.serials)), now
         self.out.append((WRITE, self.writing, self.token, tuple(acts), ((FENCE, self.fence),)))
 
     def written(self, now, serial, reply):
@@ -144,13 +146,11 @@
         self.loaded = False   # what stands is not known: read it
         self.step(now)
 
-    def read(self, now, reply):
+    def read(self, now, serial, reply):
         """The reply to READ: rows first, then who reports; who stands in a row and does not has left."""
-        if not self.reading:
-            return
-        self.reading = False
-        if not self.token:
+        if not self.token or self.reading != serial:
             return
+        self.reading = None
         if reply.proof != DONE:
             self.again_at = now + AGAIN_US
             return
@@ -173,13 +173,17 @@
         self.revision = reply.revision
         self.out.append((FOLLOW, reply.revision + 1))
         self.out.append((TELL, "info", "divides", {"members": len(asks), "rows": len(rows)}))
+        for key, value, revision in self.early:
+            self.changed(now, key, value, revision)
         self.step(now)
 
     def changed(self, now, key, value, revision):
         """A report changed; value None: its lease has ended."""
-        if not self.loaded or revision <= self.revision:
-            return
-        self.revision = revision
+        if self.reading:
+            self.early.append((key, value, revision))
+        if not self.loaded or revision <= self.revision and value is not None:
+            return   # that of an older one was read; an end that was read already changes nothing
+        self.revision = max(self.revision, revision)
         member = key.removeprefix(ASKS)
         if value is not None:
             self._heard(member, value, now)
--- a/gullhold/fleet/driver.py
+++ b/gullhold/fleet/driver.py
@@ -346,8 +346,8 @@
     def _on_ask_changed(self, key, value, revision):
         self.budgets.dividing.changed(clock(), key, value, revision)
 
-    def _on_books_read(self, reply):
-        self.budgets.dividing.read(clock(), reply)
+    def _on_books_read(self, serial, reply):
+        self.budgets.dividing.read(clock(), serial, reply)
 
     def _on_divided(self, serial, token, reply):
         self.refused(dividing.DUTY, token, reply)
--- /dev/null
+++ b/gullhold/standins/dividecheck.py
@@ -0,0 +1,450 @@
+"""Explores the decisions of budgets alone: one that divides, another that takes over, members that spend.
+
+A world has a register of a few lines, two processes that may own the duty, members on clocks of their own
+within the stated drift, and calls under way. What is really begun is counted in the world's own time; it may
+never pass the whole. Walks by chance end with the faults taken away: then nothing of the whole may be lost.
+"""
+
+import copy
+import random
+from bisect import bisect_left, bisect_right
+
+from gullhold.budgets import duty
+from gullhold.budgets.divider import Budget, Divider
+from gullhold.budgets.ledger import HELD, WINDOWED
+from gullhold.budgets.purse import Purses, Rule
+from gullhold.fleet.calls import DONE, MAYBE, NOT_DONE, Grant, Keep, Put, Read, Reply, Txn
+from gullhold.fleet.lease import Lease, Terms
+from gullhold.standins.ownercheck import Broken, Model
+
+QUANTUM_US = 250_000        # between moments: a lease is four of them
+TERMS = Terms(1, 0.15, 0)
+RATES = (0.87, 1.1, 1.0)    # of clocks against the register's: within the drift
+WINDOW_US, LINGER_US = 1_600_000, 1_100_000   # of real time: no whole number of moments
+WHOLE, ALONE, NAMES = 10, 1, ("a", "b", "c")
+NAME = "b/0"                # the one budget
+DUTY = "duties/budgets"
+OF_CALLS = ("lose the reply", "hold back", "refuse")
+FAULTS = (*OF_CALLS, "die", "cut", "elect", "miss", "leave")
+SETTLED = 30                # moments in which a fleet without faults has to have divided all
+
+
+class Books(Model):
+    """The register, with the history of budgets' keys."""
+
+    def _past(self, key, value):
+        if key.startswith(duty.ROOT):
+            self.past.append((self.revision, key, value))
+
+
+class Member:
+    """One process: its clock, lease and purse, and what it knows of its own report."""
+
+    def __init__(self, world, name, rate):
+        self.name, self.rate, self.world = name, rate, world
+        self.lease, self.cut, self.asked_revision, self.heard = Lease(TERMS), False, 0, 0
+        self.rule = world.rule
+        self.purses = world.make["purses"]({(0, 0): self.rule}, lambda _, of: f"b/{of}", self.lease, self)
+        self.purse, self.want, self.running = self.purses(0, 0), 0, []   # running: when each was begun
+
+    def __call__(self):
+        return int(self.world.now * self.rate)
+
+    def key(self):
+        """What tells it apart."""
+        return f"{self.name}/{self.lease.id:x}"
+
+
+class World:
+    """Members, dividers, register, and what is under way. act() takes one of actions(); raises Broken.
+
+    make: what to make of "purses", "dividing", "divider": the product's, or a mutant's.
+    """
+
+    def __init__(self, kind, faults=4, **make):
+        self.make = {"purses": Purses, "dividing": duty.Dividing, "divider": Divider, "compared": True,
+                     "alone_after": LINGER_US, "lengthen": 1 + TERMS.drift} | make
+        longer = self.make["lengthen"]
+        self.kind, self.faults, self.now, self.model = kind, faults, 10_000_000, Books()
+        self.rule = Rule(kind, WHOLE, int(WINDOW_US * longer), 0, ALONE,
+                         int(max(self.make["alone_after"], WINDOW_US * (kind == WINDOWED)) * longer)
+                         if self.make["alone_after"] else 0)
+        budget = Budget(kind, WHOLE, int(WINDOW_US * longer), int(LINGER_US * longer), ALONE, len(NAMES))
+        self.dividers = [self.make["dividing"]({"b": budget}, make=self.make["divider"]) for _ in range(2)]
+        self.seen, self.owner = [None, None], 0
+        self.members, self.calls, self.replies, self.ghosts = [], [], [], []
+        self.spent, self.lingering, self.still = [], [], False   # still: demand changes no more
+        for name in NAMES:
+            self.join(name)
+        self.elect()
+
+    def clock(self, k):
+        """What the clock of divider k says."""
+        return int(self.now * RATES[k + 1])
+
+    def join(self, name):
+        """A process begins, and has a lease."""
+        member = Member(self, name, RATES[len(self.members) % 3])
+        self.members.append(member)
+        self._grant(member)
+
+    def _grant(self, member):
+        member.lease.kept(self.model.call(Grant(TERMS.ttl_s), self.now).lease, member())
+        member.asked_revision, member.heard = 0, 0
+        member.purses.fresh(member.lease.id)
+        self._report(member)
+
+    def elect(self):
+        """The other one owns the duty now; who owned it does not know yet."""
+        self.model.revision += 1
+        self.model.put(DUTY, "", 0)
+        self.owner = 1 - self.owner
+        self.dividers[self.owner].won(self.model.revision, self.clock(self.owner))
+        self._collect(self.owner)
+
+    def _collect(self, k):
+        for what, *told in self.dividers[k].take():
+            if what == duty.READ:
+                self.calls.append((k, Read(told[1]), ("read", told[0])))
+            elif what == duty.WRITE:
+                serial, token, acts, when = told
+                self.calls.append((k, Txn(((DUTY, token), *when), acts), ("written", serial)))
+            elif what == duty.FOLLOW:
+                self.seen[k] = max(self.seen[k] or 0, told[0])
+
+    def _report(self, member, left=False):
+        told = member.purses.report(((0, 0, member.want),))
+        key = duty.ASKS + member.key()
+        when = ((key, member.asked_revision),) if self.make["compared"] else ()
+        text = duty.report_text(member.purses.seen, told, left)
+        self.calls.append((member, Txn(when, (Put(key, text, 0 if left else member.lease.id),)),
+                           ("reported", key)))
+
+    def actions(self):
+        """All that may be next."""
+        found = [("time",)]
+        for i in range(len(self.calls)):
+            found += [("carry out", i)]
+            found += [(fault, i) for fault in OF_CALLS] if self.faults else []
+        found += [("reply", i) for i in range(len(self.replies))]
+        found += [("late", i) for i in range(len(self.ghosts))]
+        found += [("tell", k) for k in range(2) if self._news(k)]
+        found += [("elect",), ("miss", self.owner)] if self.faults else []
+        if self.dividers[1 - self.owner].token:
+            found.append(("lost", 1 - self.owner))
+        for i, member in enumerate(self.members):
+            found += [("spend", i)] if member.purse.may(1) else []
+            found += [("end", i)] if member.running else []
+            found += [("hear", i)] if not member.cut and self._rows(member) else []
+            found += [("report", i)] if self.may_report(member) else []
+            if self.faults:
+                found += [("die", i), ("leave", i), ("heal" if member.cut else "cut", i)]
+            elif member.cut:
+                found.append(("heal", i))
+        found += [("come", name) for name in NAMES if name not in [one.name for one in self.members]]
+        return found
+
+    def fair(self):
+        """What happens next where nothing is wrong; None: nothing is under way."""
+        if self.calls:
+            return "carry out", 0
+        if self.replies:
+            return "reply", 0
+        for k in range(2):
+            if self._news(k):
+                return "tell", k
+        return next((("hear", i) for i, one in enumerate(self.members)
+                     if not one.cut and self._rows(one)), None)
+
+    def may_report(self, member):
+        """One report of a member is under way at a time."""
+        return member.lease.held(member()) and not any(who is member for who, *_ in self.calls)
+
+    def _news(self, k):
+        if self.seen[k] is None:
+            return []
+        past = self.model.past
+        return [row for row in past[bisect_left(past, self.seen[k], key=lambda row: row[0]):]
+                if row[1].startswith(duty.ASKS)]
+
+    def _rows(self, member):
+        key, past = duty.PARTS + member.key(), self.model.past
+        later = past[bisect_right(past, member.heard, key=lambda row: row[0]):]
+        return [row for row in later if row[1] == key]
+
+    def act(self, what, i=0):
+        """Do one thing; raises Broken."""
+        self.faults -= what in FAULTS
+        getattr(self, "_do_" + what.replace(" ", "_"))(i)
+        self.check()
+
+    def _do_time(self, _):
+        self.now += QUANTUM_US
+        for member in self.members:
+            if not member.cut and member.lease.held(member()):
+                reply = self.model.call(Keep(member.lease.id), self.now)
+                if reply.ttl_s:
+                    member.lease.kept(member.lease.id, member())
+            if member.lease.id and not member.lease.held(member()):
+                member.lease.lost()
+            if not member.lease.id and not member.cut:
+                self._grant(member)
+            while member.running and member.running[0] <= self.now - LINGER_US:   # nothing runs longer
+                member.running.pop(0)
+                member.purse.over(1)
+        self.model.expire(self.now)
+        for k in range(2):
+            self.dividers[k].step(self.clock(k))
+            self._collect(k)
+
+    def _do_carry_out(self, i):
+        who, request, tag = self.calls.pop(i)
+        self.replies.append((who, tag, self.model.call(request, self.now)))
+
+    def _do_lose_the_reply(self, i):
+        who, request, tag = self.calls.pop(i)
+        self.model.call(request, self.now)
+        self.replies.append((who, tag, Reply(MAYBE)))
+
+    def _do_hold_back(self, i):
+        who, request, tag = self.calls.pop(i)
+        self.ghosts.append(request)
+        self.replies.append((who, tag, Reply(MAYBE)))
+
+    def _do_refuse(self, i):
+        who, _, tag = self.calls.pop(i)
+        self.replies.append((who, tag, Reply(NOT_DONE)))
+
+    def _do_late(self, i):
+        self.model.call(self.ghosts.pop(i), self.now)
+
+    def _do_reply(self, i):
+        who, (what, *told), reply = self.replies.pop(i)
+        if what == "reported":
+            if who in self.members and told[0] == duty.ASKS + who.key():
+                self._reported(who, reply)
+        elif what == "read":
+            self.dividers[who].read(self.clock(who), *told, reply)
+            self._collect(who)
+        else:
+            self.dividers[who].written(self.clock(who), *told, reply)
+            self._collect(who)
+
+    def _reported(self, member, reply):
+        if reply.proof == DONE and reply.met:
+            member.asked_revision = reply.revision
+        else:   # as the driver does: what stands is looked at, and told anew
+            item = self.model.keys.get(duty.ASKS + member.key())
+            member.asked_revision = item.revision if item else 0
+            self._report(member)
+
+    def _do_tell(self, k):
+        revision, key, value = self._news(k)[0]
+        self.seen[k] = revision + 1 if not any(row[0] == revision for row in self._news(k)[1:]) else revision
+        rows = [row for row in self._news(k) if row[0] == revision] if self.seen[k] == revision else []
+        self.seen[k] = revision + 1
+        for _, one, told in rows or [(revision, key, value)]:
+            self.dividers[k].changed(self.clock(k), one, told, revision)
+            self._collect(k)
+
+    def _do_miss(self, k):
+        self.dividers[k].missed(self.clock(k))
+        self._collect(k)
+
+    def _do_elect(self, _):
+        self.elect()
+
+    def _do_lost(self, k):
+        self.dividers[k].lost()
+
+    def _do_spend(self, i):
+        purse = self.members[i].purse
+        while purse.may(1):
+            purse.begin(1)
+            self.spent.append(self.now)
+            self.members[i].running += [self.now] * (self.kind == HELD)
+
+    def _do_end(self, i):
+        member = self.members[i]
+        for _ in range(-(-len(member.running) // 2)):   # the older half
+            member.running.pop(0)
+            member.purse.over(1)
+
+    def _do_hear(self, i):
+        member = self.members[i]
+        member.heard, _, value = self._rows(member)[0]
+        if value is not None:
+            write, row = duty.row_of(value)
+            member.purses.told(member.lease.id, write,
+                               {name: duty.part_in(packed) for name, packed in row.items()})
+
+    def _do_report(self, i):
+        member = self.members[i]
+        member.want = 3 if self.still else (0, 4, WHOLE)[(self.now // QUANTUM_US + i) % 3]
+        self._report(member)
+
+    def _do_cut(self, i):
+        self.members[i].cut = True
+
+    def _do_heal(self, i):
+        self.members[i].cut = False
+
+    def _do_come(self, name):
+        self.join(name)
+
+    def _do_die(self, i):
+        """What it began goes on for as long as it may."""
+        member = self.members.pop(i)
+        self.calls = [row for row in self.calls if row[0] is not member]
+        if member.running:
+            self.lingering.append((self.now + LINGER_US, len(member.running)))
+
+    def _do_leave(self, i):
+        """In good order: nothing is begun any more, the last word is written, the lease goes."""
+        member = self.members[i]
+        if member.lease.held(member()) and not member.cut:
+            self.calls = [row for row in self.calls if row[0] is not member]
+            self._report(member, left=True)
+            _, request, _ = self.calls.pop()
+            self.model.call(request, self.now)
+            self.model.end(member.lease.id)
+        self._do_die(self.members.index(member))
+
+    def check(self):
+        """Never more than the whole is in use, nor within any window."""
+        self.lingering = [row for row in self.lingering if row[0] > self.now]
+        if self.kind == HELD:
+            used = sum(len(one.running) for one in self.members) + sum(out for _, out in self.lingering)
+        else:
+            self.spent = [at for at in self.spent if at > self.now - WINDOW_US]
+            used = len(self.spent)
+        if used > WHOLE:
+            raise Broken(f"{used} of {WHOLE} are in use")
+
+    def mark(self):
+        """What makes two states the same: all but absolute time and numbers of writes."""
+        return (tuple((one.name, one.cut, one.purse.part, one.purse.out, one.want, one.heard,
+                       max(0, one.lease.until - one()), len(one.purse.spent)) for one in self.members),
+                tuple((key, item.value) for key, item in sorted(self.model.keys.items())),
+                tuple((tag, str(request)) for _, request, tag in self.calls),
+                tuple((tag, reply.proof, reply.met) for _, tag, reply in self.replies),
+                tuple(map(str, self.ghosts)), tuple(self.seen), self.owner, self.faults,
+                tuple((k.token, k.loaded, k.fence, k.reading, k.writing) for k in self.dividers),
+                tuple(at - self.now for at in self.spent),
+                tuple((at - self.now, n) for at, n in self.lingering))
+
+    def calm(self):
+        """No more faults: all is carried out in turn, everybody reports, and one owner divides."""
+        self.faults, self.ghosts, self.still = 0, [], True
+        self.dividers[1 - self.owner].lost()
+        for one in self.members:
+            one.cut = False
+        for _ in range(SETTLED):
+            self.act("time")
+            for i in range(len(self.members)):
+                if self.kind == HELD:
+                    self.act("end", i)
+                if self.may_report(self.members[i]):
+                    self.act("report", i)
+            for name in NAMES:
+                if name not in [one.name for one in self.members]:
+                    self.act("come", name)
+            for _ in range(60):
+                todo = self.fair()
+                if not todo:
+                    break
+                self.act(*todo)
+
+    def settled(self):
+        """Raises Broken unless all that may be divided is divided among those who live."""
+        parts = sum(one.purse.part for one in self.members)
+        if parts < WHOLE - ALONE * len(NAMES) - 1:   # one of it may be on its way
+            raise Broken(f"{parts} are divided though nothing is wrong any more")
+
+
+
+def wild(world, draw):
+    """Actions by chance, for ever."""
+    while True:
+        actions = world.actions()
+        few = [action for action in actions if action[0] not in FAULTS or draw() < 0.15]
+        yield actions[0] if draw() < 0.12 else few[int(draw() * len(few))]
+
+
+def rounds(world, draw):
+    """Moment after moment, for ever: some report, most of what is under way is carried out, most spend, and
+    now and then something breaks. What was held back comes some moments later."""
+    while True:
+        yield ("time",)
+        for i, member in enumerate(world.members):
+            if draw() < 0.5 and world.may_report(member):
+                yield ("report", i)
+        for _ in range(14):
+            todo = world.fair()
+            if not todo or draw() < 0.05:
+                break
+            broken = world.calls and world.faults and draw() < 0.06
+            yield (OF_CALLS[int(draw() * 3)], int(draw() * len(world.calls))) if broken else todo
+        for chance in (0.7, 0.5):
+            for i, member in enumerate(world.members):
+                if draw() < chance and member.purse.may(1):
+                    yield ("spend", i)
+            todo = world.fair()
+            if todo and draw() < chance:
+                yield todo
+        actions = world.actions()
+        for kind, chance in (("end", 0.4), ("come", 0.4), ("heal", 0.1), ("late", 0.15), ("lost", 0.1)):
+            some = [action for action in actions if action[0] == kind]
+            if some and draw() < chance:
+                yield some[int(draw() * len(some))]
+                break
+        else:
+            odd = [action for action in actions if action[0] in ("die", "cut", "elect", "miss", "leave")]
+            if odd and draw() < 0.2:
+                yield odd[int(draw() * len(odd))]
+
+
+def walk(seed, steps, faults=10, marks=False, **make):
+    """One walk, then calm; raises Broken with its story. Marks of the states that it met, where asked for."""
+    draw = random.Random(seed).random
+    world, story, met = World((HELD, WINDOWED)[seed % 2], faults, **make), [], set()
+    actions = (rounds if seed // 2 % 4 else wild)(world, draw)
+    try:
+        for _ in range(steps):
+            action = next(actions)
+            story.append(action)
+            world.act(*action)
+            if marks:
+                met.add(hash(world.mark()))
+        world.calm()
+        world.settled()
+    except Broken as fault:
+        raise Broken(f"seed {seed}: {fault}; after {story}") from None
+    return met
+
+
+def explore(kind, depth, most, faults=2, seed=0, **make):
+    """(states met, the depth that was gone through whole) from a fleet that has divided."""
+    draw, world = random.Random(seed), World(kind, 0, **make)
+    world.calm()
+    world.faults = faults
+    layer, met, whole = [(world, ())], set(), 0
+    for level in range(depth):
+        following = []
+        for one, story in layer:
+            actions = one.actions()
+            draw.shuffle(actions)
+            for action in actions:
+                other = copy.deepcopy(one)
+                try:
+                    other.act(*action)
+                except Broken as fault:
+                    raise Broken(f"{fault}; after {[*story, action]}") from None
+                mark = hash(other.mark())
+                if mark not in met:
+                    met.add(mark)
+                    following.append((other, (*story, action)))
+                if len(met) >= most:
+                    return len(met), whole
+        layer, whole = following, level + 1
+    return len(met), whole
