Budgets: benchmark; looks go with the need, a send asks its parts once; register deletes once

Change: a look comes when something runs dry or is to be given back, else seldom. A key deleted twice in one transaction left the stand-in register unable to commit; mended with a test, and the divider does not ask for it any more. A row of one that has gone is written anew with what others get for it.

--- /dev/null
+++ b/benchmarks/budgets.py
@@ -0,0 +1,389 @@
+"""Budgets of a fleet: `python -m benchmarks.budgets [--quick]`. Last line JSON; status 1: a bound is missed.
+
+Gateways, register and faults are real processes; engines stand in here and count what is in them.
+"""
+
+import argparse
+import random
+import sys
+import time
+from concurrent.futures import ProcessPoolExecutor
+
+from benchmarks import close
+from gullhold.budgets.divider import Budget
+from gullhold.budgets.duty import ASKS, PARTS, READ, WRITE, Dividing, report_text
+from gullhold.budgets.ledger import HELD, WINDOWED
+from gullhold.fleet.calls import DONE, Item, Put, Reply
+from gullhold.standins import crowd, dividecheck, dividemutants
+from gullhold.standins.budgetcheck import Parts, further_sends, most_at_once, most_in_window
+from gullhold.standins.counting import CountingEngine
+from gullhold.standins.fleet import Rig
+from gullhold.standins.running import cpu_s
+
+BOUNDS = {
+    "over_whole": 0, "moves": (300, "least"), "used_of_whole": (0.9, "least"), "used_even": (0.95, "least"),
+    "redivided_order_p95_s": 0.5, "redivided_kill_p95_leases": 2.5, "answered_gain": (1.0, "least"),
+    "cold_fallen": 0, "calls_flat": 1.5, "service_ratio": (0.98, "least"), "mutants_missed": 0,
+    "walks_broken": 0, "cpu_over": 1.05,
+}
+CORES = 60          # of an engine: the module's cap is two threads a core
+WHOLE = 2 * CORES   # threads of the fleet on one engine
+STEPS = 800         # of a walk
+SLOW = ("NoFence", "OverAtOnce", "DeafWhileReading", "MaybeIsDone", "reports not compared", "drift left out")
+
+
+def p95(values):
+    """The 95th percentile, or None."""
+    return round(sorted(values)[int(0.95 * (len(values) - 1))], 3) if values else None
+
+
+def threads(whole=WHOLE, **other):
+    """An operator's words for a budget of threads on each engine."""
+    return {"of": '"threads"', "whole": whole, "linger": "600ms"} | other
+
+
+def fleet(members, budgets, engines=1, adjust=lambda settings: None, **facts):
+    """A rig of so many gateways, whose engines count."""
+    def settings(tree):
+        tree["balancers"], tree["domain"]["cores_by_kind"] = members, [CORES]
+        adjust(tree)
+
+    make = facts.pop("make", lambda seed: CountingEngine(slots=400, seed=seed))
+    return Rig(members=members, budgets=budgets, engines=engines, adjust=settings, make=make, **facts)
+
+
+def client(rig, name, serial, **facts):
+    """A client of one gateway."""
+    facts = {"open": 60, "connections": 2, "work_ms": 100.0, "limit_ms": 1500,
+             "manner": crowd.NOT_AT_ALL} | facts
+    return crowd.Client(rig.members[name].address, "", f"c{serial}", seed=serial, **facts).start()
+
+
+def end(clients):
+    """They ask no more, and hear what they are owed."""
+    for one in clients:
+        one.stop()
+    for one in clients:
+        one.join()
+
+
+def faults(rounds, seed):
+    """Six gateways, held and windowed budgets, demand that moves, drawn faults; what engines counted."""
+    draw, whole, further = random.Random(seed), 24, 20
+    budgets = [threads(whole), {"of": '"further"', "whole": further, "window": "2s"},
+               {"of": '"taken"', "whole": 400, "window": "1s"}]
+    make = lambda seed: CountingEngine(slots=64, seed=seed, fails=0.1, runs_on=True)  # noqa: E731
+    with fleet(6, budgets, engines=2, seed=seed, make=make) as rig:
+        rig.start()
+        clients, serial = [], 0
+        for turn in range(rounds):
+            busy = draw.sample(rig.names, 2)
+            for i, name in enumerate(busy):
+                serial += 1
+                clients.append(client(rig, name, serial, open=(40, 12)[i], work_ms=60.0, limit_ms=500))
+            victims = draw.sample(rig.names, 3)
+            rig.pause(victims[0])
+            rig.cut(victims[1], sides=(("there", "back"), ("back",))[turn % 2])
+            if turn % 3 == 0:
+                rig.kill(victims[2])
+            elif turn % 3 == 1:
+                rig.faults(lose=8, stale=3, behind=4)
+            else:
+                rig.kill_register()
+                rig.start_register()
+            time.sleep(0.8)
+            end(clients[:-2])
+            clients = clients[-2:]
+            rig.resume(victims[0])
+            rig.heal(victims[1])
+            if turn % 3 == 0:
+                rig.start(victims[2], wait=False)
+            time.sleep(0.5)
+        end(clients)
+        rig.stop(*[name for name in rig.names if rig.members[name].process.poll() is None])
+        over = sum(most_at_once(engine.flights)[0] > whole for engine in rig.engines)
+        sends = further_sends(rig.engines)
+        over += most_in_window(sends, 2.0)[0] > further
+        check = Parts(rig.lines())
+        limits = {"threads": whole, "further": further, "taken": 400}
+        over += sum(most > limits[name.partition("/")[0]] for name, most in check.most.items())
+        logs = [member.log.read_text("utf-8", "replace") for member in rig.members.values()]
+        bad = sum(log.count(word) for log in logs for word in (
+            "faults of ours", "faults of the module", "was not answered in time", "Traceback"))
+        return {"over_whole": over, "moves": check.moves, "rules_broken": bad, "further_sends": len(sends),
+                "most_at_once": [most_at_once(engine.flights)[0] for engine in rig.engines],
+                "most_further": most_in_window(sends, 2.0)[0],
+                "fetches": sum(len(engine.flights) for engine in rig.engines)}
+
+
+def in_use(rig, began, ended):
+    """The mean of what was in the first engine between two times, of the whole."""
+    total = sum(max(0.0, min(row[1] or ended, ended) - max(row[0], began)) for row in rig.engines[0].flights)
+    return total / (ended - began) / WHOLE
+
+
+def used(seconds, busy, budgets):
+    """What gateways that ask for all get to use of the whole, of six; busy: who asks."""
+    with fleet(6, budgets) as rig:
+        rig.start(operator=bool(budgets))
+        clients = [client(rig, name, i, open=2 * WHOLE // len(busy), connections=1 + 8 // len(busy),
+                          work_ms=600.0, limit_ms=2900) for i, name in enumerate(busy)]
+        time.sleep(1.5)
+        began = time.time()
+        time.sleep(seconds)
+        share = in_use(rig, began, time.time())
+        end(clients)
+        return round(share, 4)
+
+
+def redivided(turns):
+    """From a member's end to its part written for others: (after one in good order in s, after a kill in
+    leases)."""
+    found = {"stop": [], "kill": []}
+    with fleet(3, [threads(24)]) as rig:
+        rig.start()
+        clients = [client(rig, name, i, open=40) for i, name in enumerate(("n0", "n1"))]
+        for turn in range(turns):
+            rig.until(lambda: sum(rig_parts(rig).get(name, 0) > 6 for name in ("n0", "n1")) == 2)
+            time.sleep(0.2)
+            manner = ("kill", "stop")[turn % 2]
+            told = time.time()
+            getattr(rig, manner)("n0")
+            went = time.time()
+            rig.until(lambda: rig_parts(rig).get("n1", 0) >= 22)
+            raised = next(at for at, rows in Parts(rig.lines()).history if at > told and sum(
+                part for name, parts in rows.items() for member, part in parts.items()
+                if member.startswith("n1/")) >= 22)
+            found[manner].append(max(0.0, raised - went) / (rig.lease_s if manner == "kill" else 1))
+            rig.start("n0")
+            end(clients[:1])
+            clients[0] = client(rig, "n0", 10 + turn, open=40)
+        end(clients)
+    return p95(found["stop"]), p95(found["kill"])
+
+
+def rig_parts(rig):
+    """{member: its part} of the one engine's threads."""
+    check = Parts(rig.lines())
+    return check.now(next(iter(check.most), ""))
+
+
+def gain(seconds, budgets):
+    """Commands answered in the latency target under uneven traffic, with one engine slow and one cold."""
+    def rules(tree):
+        tree["rules"] |= {"cold_from": 0.05, "warm_after": 30, "fall_multiple": 1, "tip_after": 1}
+        for item in tree["categories"]:
+            item["aim"] = 0.4
+
+    with fleet(6, budgets, engines=3, adjust=rules) as rig:
+        rig.engines[1].pace = 0.5
+        rig.born_ms[2] = int(time.time() * 1000)
+        rig.start(operator=bool(budgets))
+        clients = [client(rig, "n0", 1, rate=170.0, work_ms=250.0, limit_ms=900, connections=4),
+                   *(client(rig, f"n{i}", 1 + i, rate=4.0, work_ms=250.0, limit_ms=900) for i in range(1, 6))]
+        time.sleep(1.0)
+        for one in clients:
+            one.zero()
+        time.sleep(seconds)
+        good = sum(latency <= 0.4 for one in clients for latency in one.latencies)
+        asked = sum(one.asked for one in clients)
+        end(clients)
+        fallen = 0
+        rows = [(row[0], row[4] / 1000) for row in rig.engines[2].flights]
+        for at, _ in rows:   # what it stands in a window, its capacity growing half as fast as a line
+            stands = (0.05 + 0.95 / 2 * (at - rig.born_ms[2] / 1000) / 30) * CORES
+            fallen += sum(work for when, work in rows if at - 1.0 < when <= at) > stands
+        return good / max(1, asked), fallen
+
+
+def service(seconds, budgets):
+    """Answered over asked with the register dead, at a load that even parts carry."""
+    with fleet(6, budgets) as rig:
+        rig.start(operator=True)
+        clients = [client(rig, name, i, rate=30.0, work_ms=150.0, limit_ms=1000)
+                   for i, name in enumerate(rig.names)]
+        time.sleep(1.0)
+        rig.kill_register()
+        time.sleep(1.3)
+        for one in clients:
+            one.zero()
+        time.sleep(seconds)
+        ratio = sum(one.answered for one in clients) / max(1, sum(one.asked for one in clients))
+        end(clients)
+        rig.start_register()
+        return ratio
+
+
+def cost(seconds):
+    """CPU of a command with budgets on over off, by turns in one run, each a gateway of its own."""
+    budgets = [threads(), {"of": '"further"', "whole": 1000, "window": "5s"}]
+    with fleet(1, budgets) as on, fleet(1, []) as off:
+        spent = {}
+        for rig in (on, off):
+            rig.start()
+            clients = [client(rig, "n0", 1, rate=120.0, work_ms=5.0, limit_ms=900)]
+            time.sleep(0.7)
+            spent[rig] = [clients, 0.0, 0]
+        for _ in range(2):   # both are under the same load at the same time
+            before = {rig: (cpu_s(rig.members["n0"].process.pid), spent[rig][0][0].answered) for rig in spent}
+            time.sleep(seconds)
+            for rig, (cpu, answered) in before.items():
+                spent[rig][1] += cpu_s(rig.members["n0"].process.pid) - cpu
+                spent[rig][2] += spent[rig][0][0].answered - answered
+        each = {rig: cpu / max(1, count) for rig, (_, cpu, count) in spent.items()}
+        for rig in spent:
+            end(spent[rig][0])
+    return round(each[on] / each[off], 3), round(each[off] * 1e6)
+
+
+def calls_real(seconds, members=12):
+    """Calls of the register and bytes written of one member in a second, while demand alternates."""
+    with fleet(members, [threads(48)], engines=2) as rig:
+        rig.start()
+        rig.until(lambda: len(rig_parts(rig)) == members)
+        before, size = sum(rig.counts().values()), Parts(rig.lines()).bytes
+        for turn in range(2):
+            one = client(rig, f"n{turn}", turn, work_ms=60.0)
+            time.sleep(seconds / 2)
+            end([one])
+        return (round((sum(rig.counts().values()) - before) / members / seconds, 2),
+                round((Parts(rig.lines()).bytes - size) / members / seconds))
+
+
+def calls_alone(members, budgets=5000, each=250, turns=4):
+    """By the decisions alone: (calls, bytes) of one member for a change of five of its budgets, and the
+    longest division in ms. Each member tells of so many of the budgets: scaled down from all of them."""
+    dividing = Dividing({"threads": Budget(HELD, 10_000, linger_us=1_000_000),
+                         "taken": Budget(WINDOWED, 10_000, window_us=1_000_000)})
+    names = [f"{('threads', 'taken')[i % 2]}/{i}" for i in range(budgets)]
+    told = {f"m{i}/1": {names[(i * each + k) % budgets]: (0, 5, 8) for k in range(each)}
+            for i in range(members)}
+    items = tuple(Item(ASKS + member, report_text(0, rows), 2, 1) for member, rows in told.items())
+    now, revision, writes, size, longest = 0, 10, 0, 0, 0.0
+    dividing.won(1, now)
+    dividing.read(now, next(row for row in dividing.take() if row[0] == READ)[1], Reply(DONE, 3, items=items))
+
+    def settle():
+        nonlocal now, revision, writes, size, longest
+        while True:
+            began = time.perf_counter()
+            dividing.step(now)
+            longest = max(longest, time.perf_counter() - began)
+            rows = [row for row in dividing.take() if row[0] == WRITE]
+            for _, serial, _, acts, _ in rows:
+                writes, revision = writes + 1, revision + 1
+                size += sum(len(act.value) for act in acts if isinstance(act, Put) and PARTS in act.key)
+                dividing.written(now, serial, Reply(DONE, revision))
+            if not rows and dividing.divider.due() != 0:
+                return
+            now += 20_000
+
+    settle()
+    calls = 0
+    writes = size = 0
+    for turn in range(turns):
+        for i, (member, rows) in enumerate(told.items()):
+            for name in list(rows)[5 * turn:5 * turn + 5]:
+                rows[name] = (0, 20 + turn + i % 3, 40 + turn)
+            revision, calls = revision + 1, calls + 1
+            text = report_text(0, rows)
+            size += len(text)
+            dividing.changed(now, ASKS + member, text, revision)
+            if dividing.writing:
+                dividing.written(now, dividing.writing, Reply(DONE, revision))
+        now += 1_000_000
+        settle()
+    return (round((calls + writes) / members / turns, 3), round(size / members / turns),
+            round(longest * 1000, 1))
+
+
+def walks(job):
+    """Marks of states that some walks met, or what broke."""
+    first, last = job
+    met = set()
+    for seed in range(first, last):
+        try:
+            met |= dividecheck.walk(seed, STEPS, marks=True)
+        except dividecheck.Broken as fault:
+            return met, str(fault)[:400]
+    return met, ""
+
+
+def hunt(job):
+    """Whether a mutant is found, and by which walk."""
+    name, most = job
+    return name, dividemutants.find(name, most, STEPS)
+
+
+def begin_decisions(pool, quick):
+    """Begin to play the decisions alone; what decided() needs."""
+    per, jobs, most = (30, 8, 1200) if quick else (400, 16, 6000)
+    names = sorted(dividemutants.MUTANTS, key=lambda name: name not in SLOW)   # so that no core waits
+    hunted = pool.map(hunt, [(name, most) for name in names])
+    played = pool.map(walks, [(i * per, (i + 1) * per) for i in range(jobs)])
+    systematic = [pool.submit(dividecheck.explore, kind, 6, 1500 if quick else 40_000)
+                  for kind in (HELD, WINDOWED)]
+    return per * jobs, hunted, played, systematic
+
+
+def decided(count, hunted, played, systematic):
+    """The decisions alone: states met, broken walks, mutants found."""
+    found, met, broken = dict(hunted), set(), []
+    for marks, fault in played:
+        met |= marks
+        broken += [fault] if fault else []
+    states = [one.result() for one in systematic]
+    for name, what in found.items():
+        print(f"mutant {name}: {what[1][:90] + f' (walk {what[0]})' if what else 'NOT FOUND'}")
+    for fault in broken:
+        print("broken:", fault)
+    return {"explored_states": len(met) + sum(count for count, _ in states), "walks": count,
+            "systematic_depth_whole": min(depth for _, depth in states), "walks_broken": len(broken),
+            "mutants": len(found), "mutants_found": sum(what is not None for what in found.values()),
+            "mutants_missed": sum(what is None for what in found.values())}
+
+
+def main():
+    """All of it; the last line is JSON."""
+    parser = argparse.ArgumentParser(prog="benchmarks.budgets", description=__doc__.splitlines()[0])
+    parser.add_argument("--quick", action="store_true")
+    parser.add_argument("--seed", type=int, default=1)
+    args = parser.parse_args()
+    began, figures = time.monotonic(), {"quick": args.quick, "seed": args.seed}
+    seconds = 1.5 if args.quick else 15.0
+
+    def show(**facts):
+        figures.update(facts)
+        print(f"{time.monotonic() - began:6.1f} s", facts, flush=True)
+
+    with ProcessPoolExecutor(3) as pool:   # beside what no other work can spoil
+        alone = begin_decisions(pool, args.quick)
+        show(**faults(7 if args.quick else 60, args.seed))
+        order, kill = redivided(4 if args.quick else 20)
+        show(redivided_order_p95_s=order, redivided_kill_p95_leases=kill)
+        show(**decided(*alone))
+    show(used_of_whole=used(seconds, ["n0"], [threads()]), used_today=used(seconds, ["n0"], []),
+         used_even=used(seconds, [f"n{i}" for i in range(6)], [threads()]))
+    (good, fallen), (even, _) = (gain(seconds, budgets) for budgets in (
+        [threads(), {"of": '"cold"', "window": "1s"}], []))
+    show(answered_gain=round(good / max(even, 1e-9), 3), cold_fallen=fallen,
+         answered_in_target=[round(good, 3), round(even, 3)])
+    ratios = [service(seconds, budgets) for budgets in ([threads(alone=10, members=6)], [])]
+    show(service_ratio=round(ratios[0] / ratios[1], 4), service_dead=[round(ratio, 4) for ratio in ratios])
+    over, us = cost(seconds)
+    show(cpu_over=over, cpu_off_us=us)
+    calls, size = calls_real(2.0 if args.quick else 20.0)
+    alone = {members: calls_alone(members) for members in (200, 1000)}
+    rates, sizes = zip(*(row[:2] for row in alone.values()), strict=True)
+    show(calls_per_member_s=calls, bytes_per_member_s=size,
+         calls_alone={members: row[0] for members, row in alone.items()},
+         bytes_alone={members: row[1] for members, row in alone.items()},
+         divide_ms={members: row[2] for members, row in alone.items()},
+         calls_flat=round(max(max(rates) / min(rates), max(sizes) / min(sizes)), 3))
+    show(seconds=round(time.monotonic() - began, 1))
+    sys.stdout.flush()
+    close(figures, BOUNDS)
+
+
+if __name__ == "__main__":
+    main()
--- a/gullhold/budgets/divider.py
+++ b/gullhold/budgets/divider.py
@@ -102,16 +102,19 @@
                 self.changed[name] = None
 
     def divide(self, write, now, most=MOST):
-        """{member: {budget: part}} of the parts that change with this write. So many budgets at most are
-        looked at, the others with the next writes."""
+        """{member: {budget: part}} of the parts that change with this write; empty where a row has only to be
+        written anew. So many budgets at most are looked at, the others with the next writes."""
         while self.later and self.later[0][0] <= now:
             self.changed[heappop(self.later)[1]] = None
         found = {}
         for name in list(self.changed)[:most]:
             del self.changed[name]
             if name in self.books:
-                for member, part in self._divide(name, write, now).items():
+                changed, ended = self._divide(name, write, now)
+                for member, part in changed.items():
                     found.setdefault(member, {})[name] = part
+                for member in ended:   # with what others get for it: on its row it stands no more
+                    found.setdefault(member, {})
         return found
 
     def _divide(self, name, write, now):
@@ -127,7 +130,8 @@
         old = books.parts()
         targets = calm(old, parts, wants)
         changed = books.write(targets, write, now)
-        for member in stood - set(books.entries):
+        ended = stood - set(books.entries)
+        for member in ended:
             self.rows[member].discard(name)
             if not self.rows[member] and member not in self.there:
                 del self.rows[member]
@@ -136,7 +140,7 @@
         if not books.entries:
             del self.books[name], self.words[name]
             self.turns.pop(name, None)
-        return changed
+        return changed, ended
 
     def _look_again(self, name, targets, wants, now):
         """When something ends by itself, a word is believed no more, or others come first."""
--- a/gullhold/budgets/driver.py
+++ b/gullhold/budgets/driver.py
@@ -20,6 +20,7 @@
 SETTLE_US = 500_000      # us that what was given up may run on at an engine: an abort on its way, twice
 LINGER_US = 1_000_000    # us over the longest client timeout: nothing that an engine was sent waits longer
 LEAST_US = 50_000        # us between reports of one member
+CALM = 5                 # looks that are left out while nothing runs dry and nothing is to be given back
 LANES = ("reports", "dividing")   # of calls: neither waits for the other
 
 
@@ -80,11 +81,12 @@
         names = [tenant.name for tenant in deal.tenants] or [profile.name for profile in deal.profiles]
         self.purses = Purses(
             rules, lambda budget, of: f"{WORDS[budget]}/{names[of] if budget in TENANTS else of}",
-            fleet.owner.lease, clock)
+            fleet.owner.lease, clock, lambda: fleet.queue.put(("rush",)))
         self.teller, self.dividing = Teller(LEAST_US), duty.Dividing(budgets)
         self.lease, self.told, self.cut = 0, {}, False      # reports are for this lease; parts as last told
         self.revision = 0                                   # of our report, as the register has it
         self.looking, self.look_at, self.writing, self.known = False, 0, False, False
+        self.looked_at = 0
         self.pending = []                                   # what the core's thread is to be told
         self.leaving, self.given_back = False, False
         self.core.first(self._on_core, [])   # before the first command: parts bind from the start
@@ -132,6 +134,10 @@
         self.dividing.step(now)
         self.carry()
 
+    def rush(self):
+        """Something runs dry: look as soon as may be."""
+        self.look_at = min(self.look_at, self.looked_at + self.look_us)
+
     def leave(self):
         """In good order: the lease is kept until all is given back."""
         self.leaving = True
@@ -140,7 +146,10 @@
 
     def counted(self, now, under, seen, cut, told, parts):
         """What the core's thread counted."""
-        self.looking, self.look_at, self.cut = False, now + self.look_us, self.cut or cut
+        back = self.cut or cut or self.leaving or any(
+            out > parts.get(name, 0) for name, (out, *_) in told.items())
+        self.looking, self.cut = False, self.cut or cut
+        self.looked_at, self.look_at = now, now + self.look_us * (1 if back else CALM)
         if under != self.lease or not self.fleet.owner.lease.held(now) or self.given_back:
             return
         if self.leaving:
--- a/gullhold/budgets/duty.py
+++ b/gullhold/budgets/duty.py
@@ -114,6 +114,8 @@
         for member in found:
             self.dirty[member] = None
         self.gone |= dict.fromkeys(self.divider.over)
+        for member in self.divider.over:
+            self.dirty.pop(member, None)   # its keys go
         self.divider.over = set()
         if not self.dirty and not self.gone:
             return
--- a/gullhold/budgets/purse.py
+++ b/gullhold/budgets/purse.py
@@ -8,7 +8,7 @@
 from collections import deque
 from typing import NamedTuple
 
-from gullhold.budgets.demand import wanted
+from gullhold.budgets.demand import AHEAD, wanted
 from gullhold.budgets.ledger import HELD, WEIGHT
 
 
@@ -39,30 +39,32 @@
 
     def alone(self, now):
         """What it may spend besides its part."""
-        return self.rule.alone if now >= self.purses.began + self.rule.alone_after_us else 0
+        alone = self.rule.alone
+        return alone if alone and now >= self.purses.began + self.rule.alone_after_us else 0
 
-    def most(self):
+    def most(self, now=None):
         """What it may have in use now."""
-        now = self.purses.clock()
+        now = self.purses.clock() if now is None else now
         return self.alone(now) + (self.part if self.purses.holds(now) else 0)
 
     def may(self, amount):
         """Whether so much more may be begun now."""
         now = self.purses.clock()
-        if self.used(now) + amount <= self.most():
+        if self.used(now) + amount <= self.most(now):
             return True
         self.short = True
+        self.purses.rush()
         return False
 
     def begin(self, amount):
-        """Begun, after may()."""
-        now = self.purses.clock()
-        if self.rule.kind == HELD:
-            self.out += amount
-        else:
+        """Begun, after may(). It asks for more before it runs dry."""
+        now, self.out = self.purses.clock(), self.out + amount
+        if self.rule.kind != HELD:
             self.spent.append((now, amount))
-            self.out += amount
-        self.peak = max(self.peak, self.used(now))
+        if self.out > self.peak and (used := self.used(now)) > self.peak:
+            self.peak = used
+            if used * (AHEAD + 1) > self.part * AHEAD:
+                self.purses.rush()
 
     def over(self, amount, surely=True):
         """What was begun under a held budget has ended; not surely: it was given up, and may run on a moment.
@@ -77,6 +79,7 @@
     def refused(self, amount):
         """Somebody was turned away for want of it."""
         self.lack += amount
+        self.purses.rush()
 
     def used(self, now):
         """What is in use, or was spent within the window."""
@@ -103,11 +106,13 @@
     """All parts of one member: called with (budget, of what), the part; None where the fleet has no budget.
 
     rules: {(budget, of what or None for each): Rule}; label(budget, of): what the fleet calls it; lease:
-    with id and until, which another thread changes; clock: monotonic us.
+    with id and until, which another thread changes; clock: monotonic us; hurry(): called, once between two
+    reports, when one runs dry.
     """
 
-    def __init__(self, rules, label, lease, clock):
+    def __init__(self, rules, label, lease, clock, hurry=lambda: None):
         self.rules, self.label, self.lease, self.clock = rules, label, lease, clock
+        self.hurry, self.hurried = hurry, False
         self.kinds = {budget for budget, _ in rules}
         self.began, self.under, self.seen, self.cut = clock(), 0, 0, False
         self.rows, self.row = {}, {}   # purses by (budget, of what); parts by name, as last told
@@ -127,6 +132,12 @@
             self.rows[budget, of] = purse
         return purse
 
+    def rush(self):
+        """One runs dry."""
+        if not self.hurried:
+            self.hurried = True
+            self.hurry()
+
     def holds(self, now):
         """Whether the lease under which the parts were told surely holds. Its end is read first: another
         thread may begin a new one in between, whose id is another."""
@@ -155,6 +166,7 @@
         """{name: (out, used, want)} of all that matters now; lacks: of what held commands lack, and of which
         engines there are."""
         now, asked = self.clock(), {(budget, of): amount for budget, of, amount in lacks}
+        self.hurried = False
         for key in asked:
             self(*key)
         found = {}
--- a/gullhold/fleet/driver.py
+++ b/gullhold/fleet/driver.py
@@ -331,6 +331,9 @@
 
     # Budgets
 
+    def _on_rush(self):
+        self.budgets.rush()
+
     def _on_counted(self, *told):
         self.budgets.counted(clock(), *told)
 
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -214,14 +214,16 @@
 
     def _claims(self, cmd, be):
         """What a send takes of our parts of the fleet's budgets: (part, how much) each."""
-        if not self.parts:
-            return ()
-        ident, rows = self.ids[be], [(api.THREADS, cmd.threads), (api.MEMORY, ceil(self._grant(cmd, be)))]
-        if self._cold(be):
-            rows.append((api.COLD, self._cold_part(cmd.work, be)))
-        rows = [(self.parts(budget, ident), n) for budget, n in rows]
-        rows.append((self.parts(api.FURTHER, 0) if cmd.sends else None, 1))
-        return [(part, n) for part, n in rows if part and n]
+        ident, found = self.ids[be], []
+        if part := self._part(api.THREADS, ident):
+            found.append((part, cmd.threads))
+        if part := self._part(api.MEMORY, ident):
+            found.append((part, ceil(self._grant(cmd, be))))
+        if self._cold(be) and (part := self._part(api.COLD, ident)):
+            found.append((part, self._cold_part(cmd.work, be)))
+        if cmd.sends and (part := self._part(api.FURTHER, 0)):
+            found.append((part, 1))
+        return found
 
     def streaming(self, now, ident, send):
         """A send's answer has begun: it now belongs to the client."""
@@ -476,7 +478,7 @@
         return self.now >= self.full_until[be] and (
             not self.running[be] or self.threads[be] + cmd.threads <= cap) and self._allowed(cmd, be) and (
             self.failed[be] * self._fresh(self.failed_at[be]) <= most + SICK[1] * self.usual_failed) and (
-            all(part.may(n) for part, n in self._claims(cmd, be)))
+            not self.parts or all(part.may(n) for part, n in self._claims(cmd, be)))
 
     def _choose(self, cmd):
         """Two drawn at random from the data set's homes (all gateways rank them alike), and one from all."""
@@ -606,7 +608,7 @@
         return min(cmd.need * (mean + NEED[2] * wide), self.deal.most_grant * memory or float("inf"))
 
     def _send(self, cmd, be):
-        deal, cmd.began = self.deal, self._claims(cmd, be)
+        deal, cmd.began = self.deal, self._claims(cmd, be) if self.parts else ()
         for part, n in cmd.began:
             part.begin(n)
         if deal.heeds_grants or deal.heeds_priority:
--- a/gullhold/standins/register/store.py
+++ b/gullhold/standins/register/store.py
@@ -151,10 +151,12 @@
         """One revision, durable before anybody is told."""
         revision, place, rows = self.revision + 1, 0, []
         leases = []
+        done = set()
         for kind, key, value, lease in writes:
             old = self.kv.get(key)
-            if kind == "delete" and old is None:
+            if kind == "delete" and (old is None or key in done):   # deleted once in one revision
                 continue
+            done.add(key)
             item = None if kind == "delete" else Key(
                 value, old.born if old else revision, revision, old.version + 1 if old else 1, lease)
             rows.append((revision, place, key, value, lease, item.born if item else 0,
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -6,7 +6,21 @@
 
 import pytest
 
-from gullhold.fleet.calls import DONE, MAYBE, NOT_DONE, Get, Grant, Held, Item, Keep, Put, Read, Revoke, Txn
+from gullhold.fleet.calls import (
+    DONE,
+    MAYBE,
+    NOT_DONE,
+    Drop,
+    Get,
+    Grant,
+    Held,
+    Item,
+    Keep,
+    Put,
+    Read,
+    Revoke,
+    Txn,
+)
 from gullhold.fleet.register import Register
 from gullhold.fleet.spread import Spread
 from gullhold.operator import records
@@ -69,6 +83,14 @@
     time.sleep(1.1)
 
 
+def test_a_key_that_is_deleted_twice_in_one_transaction_is_deleted_once(register):
+    _, session = register
+    session.call(Txn((), (Put("d", "1"),)))
+    gone = session.call(Txn((), (Drop("d"), Drop("d"), Put("e", "1"))))
+    assert gone.proof == DONE and session.call(Read("d")).items == ()
+    assert session.call(Txn((), (Put("e", "2"),))).revision == gone.revision + 1
+
+
 def test_a_watch_tells_all_from_a_revision_on_or_that_its_history_is_gone(register):
     rig, session = register
     lease = session.call(Grant(5)).lease
