Budgets: operators page, note, plan and report of a run on the command line

Need: staff have to see whole, parts, used, idle and who waits for whom, and to ask what would be given before they change a record.

--- a/gullhold/__main__.py
+++ b/gullhold/__main__.py
@@ -35,10 +35,19 @@
     register.add_argument("--fast", action="store_true", help="a loss of power may undo the last changes")
     register.add_argument("--scripted", action="store_true", help="faults may be asked for: for tests alone")
     fleet = commands.add_parser("fleet", help="what a fleet's register says")
-    fleet.add_argument("what", choices=("members", "duties", "history"))
+    fleet.add_argument("what", choices=("members", "duties", "history", "budgets", "plan", "report"))
     fleet.add_argument("--register", default="127.0.0.1:2379", metavar="HOST:PORT", help="(127.0.0.1:2379)")
     fleet.add_argument("--name", default="main", help="which fleet (main)")
     fleet.add_argument("--json", action="store_true", help="a JSON object a line, for scripts")
+    asked = fleet.add_argument_group("plan, report")
+    asked.add_argument("--members", type=int, default=2, metavar="N", help="plan: for so many (2)")
+    asked.add_argument("--whole", type=int, default=0, metavar="X", help="plan: of so much")
+    asked.add_argument("--wants", default="", metavar="A,B,...", help="plan: what they want (each the whole)")
+    asked.add_argument("--floor", type=int, default=1, help="plan: least part of each (1)")
+    asked.add_argument("--grain", type=int, default=1, help="plan: least part that is of use (1)")
+    asked.add_argument("--alone", type=int, default=0, help="plan: kept back for each (0)")
+    asked.add_argument("--seconds", type=float, default=30, help="report: watched for so long (30)")
+    asked.add_argument("--out", default="budgets.html", metavar="FILE", help="report: (budgets.html)")
     commands.add_parser("version", help="print the version")
     return top
 
@@ -56,6 +65,20 @@
     if args.command == "register":
         from gullhold.standins.register import server  # noqa: PLC0415
         return server.main(args.listen, args.store, not args.fast, args.journal, args.scripted)
+    if args.command == "fleet" and args.what in ("budgets", "plan", "report"):
+        from gullhold.budgets import show as budgets  # noqa: PLC0415  heavy libraries
+        if args.what == "plan":
+            try:
+                wants = [int(word) for word in args.wants.split(",") if word]
+            except ValueError:
+                print(f"gullhold: --wants {args.wants}: whole numbers with commas are needed",
+                      file=sys.stderr)
+                return 2
+            return budgets.run_plan(args.members, args.whole, wants, args.floor, args.grain, args.alone,
+                                    args.json)
+        if args.what == "report":
+            return budgets.run_report(args.register, args.name, args.seconds, args.out)
+        return budgets.run(args.register, args.name, args.json)
     if args.command == "fleet":
         from gullhold.fleet import show  # noqa: PLC0415  heavy libraries
         return show.run(args.what, args.register, args.name, args.json)
--- a/gullhold/budgets/duty.py
+++ b/gullhold/budgets/duty.py
@@ -51,6 +51,20 @@
         return 0, {}
 
 
+def fence_text(write, budgets):
+    """The fence as the register holds it: also what the divider goes by, for staff."""
+    wholes = {name: (budget.whole, budget.alone * budget.members_most) for name, budget in budgets.items()}
+    return json.dumps({"write": write, "wholes": wholes}, separators=(",", ":"))
+
+
+def fence_of(text):
+    """{budget or word: (whole, kept back)} of a fence; {}: it can't be read."""
+    try:
+        return {name: (int(whole), int(back)) for name, (whole, back) in json.loads(text)["wholes"].items()}
+    except (ValueError, TypeError, KeyError):
+        return {}
+
+
 def part_in(packed):
     """The part that a row's packed entry holds."""
     return packed if isinstance(packed, int) else packed[0]
@@ -121,7 +135,7 @@
             return
         members = list(self.dirty)[:ROWS_MOST]
         gone = list(self.gone)[:ROWS_MOST - len(members)]
-        acts = [Put(FENCE, str(number))]
+        acts = [Put(FENCE, fence_text(number, self.budgets))]
         for member in members:
             row = self.divider.row(member)
             acts.append(Put(PARTS + member, row_text(number, row)) if row else Drop(PARTS + member))
--- a/tests/test_fleet_budgets.py
+++ b/tests/test_fleet_budgets.py
@@ -1,5 +1,6 @@
 """Budgets of a fleet of real processes: engines count, and never more than the whole is in use."""
 
+import json
 import time
 from itertools import count
 
@@ -292,6 +293,35 @@
         assert time.time() - gone < 6
 
 
+def test_staff_see_budgets_a_plan_and_a_report_of_a_run(tmp_path, capsys):
+    from gullhold.__main__ import main  # noqa: PLC0415
+    with rig(2, [threads(12, alone=1, members=2)]) as fleet:
+        fleet.start()
+        one = client(fleet, "n0")
+        fleet.until(lambda: parts(fleet) == {"n0": 9, "n1": 1})
+        at = ["--register", fleet.register_address, "--name", "rig"]
+
+        def told():
+            assert main(["fleet", "budgets", *at, "--json"]) == 0
+            (row,) = [json.loads(line) for line in capsys.readouterr().out.splitlines()]
+            return row if row["used"] >= 9 else None   # the first reports came before the rush
+
+        row = fleet.until(told)
+        assert (row["whole"], row["kept back"], row["given"], row["waiting"]) == (12, 2, 10, "n0")
+        assert row["parts"] == "n0 9, n1 1"
+        assert main(["fleet", "report", *at, "--seconds", "0.5", "--out", str(tmp_path / "x.html")]) == 0
+        end(one)
+    told = (tmp_path / "x.html").read_text("utf-8")
+    assert "<svg" in told and row["budget"] in told and "http://kozea" not in told
+    capsys.readouterr()
+    words = ["fleet", "plan", "--members", "3", "--whole", "20", "--wants", "2,50", "--alone", "1", "--json"]
+    assert main(words) == 0
+    found = [json.loads(line)["part"] for line in capsys.readouterr().out.splitlines()]
+    assert found == [2, 8, 7] and main(words[:-1]) == 0
+    assert "17 given, 3 kept back" in capsys.readouterr().out
+    assert main(["fleet", "plan", "--wants", "x"]) == 2 and main(["fleet", "budgets", *at]) == 1
+
+
 def test_a_budget_that_does_not_fit_is_one_line(tmp_path):
     from gullhold.operator import records  # noqa: PLC0415
     for text, why in (('{of: "threads", whole: 5, alone: 2, members: 3}', "over the whole"),
--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -491,3 +491,100 @@
     assert not world.out() and not world.gateway.commands
     ident = world.command(timeout_us=WORK + 100 * MS)
     assert world.out() == [ident]
+
+
+# Parts of the fleet's budgets
+
+
+class Part:
+    """A part that a test moves: what it may have, and what is begun under it."""
+
+    def __init__(self, most):
+        self.limit, self.out, self.turned_away = most, 0, 0
+
+    def most(self):
+        return self.limit
+
+    def may(self, amount):
+        return self.out + amount <= self.limit
+
+    def begin(self, amount):
+        self.out += amount
+
+    def over(self, amount, surely=True):
+        self.out -= amount if surely else 0
+
+    def refused(self, amount):
+        self.turned_away += amount
+
+
+def parted(deal=None, **parts):
+    """A driver whose module has these parts, each of all engines and tenants: {name: Part}."""
+    world = Driver(deal or agreement())
+    world.engines((1, 0, 0, api.READY, 0, 0))
+    found = {getattr(api, name.upper()): part for name, part in parts.items()}
+
+    def allot():
+        results = world.gateway.allot(world.now, lambda budget, of: found.get(budget))
+        world.obey([row for row in results if row[0] != api.LACKS])
+        return {row[:2]: row[2] for kind, rows in (row for row in results if row[0] == api.LACKS)
+                for row in rows}
+    allot()
+    return world, allot
+
+
+def test_threads_of_the_fleet_hold_back_what_the_even_part_would_send_and_go_on_when_they_grow():
+    part = Part(2)
+    world, allot = parted(agreement(managers=50), threads=part)
+    for _ in range(6):
+        world.command()
+    assert len(world.out()) == 2 == part.out
+    assert allot()[api.THREADS, 1] == 4
+    part.limit = 5
+    allot()
+    assert len(world.out()) == 5
+    part.limit = 1   # it cancels nothing, and begins nothing
+    world.end(world.out()[0], api.ANSWERED)
+    assert len(world.out()) == 4 == part.out
+    world.end(world.out()[0], api.RESET)   # it may run on: whoever keeps the part says when it is over
+    assert part.out == 4
+
+
+def test_a_part_under_one_command_sends_none_of_it():
+    world, allot = parted(agreement(profile(threads=3)), threads=Part(2))
+    world.command()
+    assert not world.out() and allot()[api.THREADS, 1] == 3
+
+
+def test_further_sends_and_commands_taken_of_a_tenant_are_the_fleets():
+    further, taken, opened = Part(1), Part(9), Part(2)
+    deal = agreement(extra_free=0.0, extra_share=0.0, extra_us=1000 * MS,
+                     tenants=(api.Tenant(1.0, name="a"),))
+    world = Driver(deal)
+    found = {api.FURTHER: further, api.TAKEN: taken, api.OPEN: opened}
+    world.deal = deal._replace(extra_free=None)   # the stand-in front keeps the module's own budget no more
+    world.engines((1, 0, 0, api.READY, 0, 0), (2, 0, 0, api.READY, 0, 0))
+    world.gateway.allot(world.now, lambda budget, of: found.get(budget))
+    first, second, third = (world.command() for _ in range(3))
+    assert world.commands[third]["final"] == api.SHED and opened.turned_away == taken.turned_away == 1
+    for one in (first, second):
+        world.end(one, api.RESET)
+    world.wait(10 * MS)
+    assert len(world.out()) == 1 and further.out == 1
+    lacks = world.gateway.allot(world.now, lambda budget, of: found.get(budget))[-1][1]
+    assert (api.FURTHER, 0, 1) in lacks
+    world.leave(second)
+    world.end(world.out()[0], api.ANSWERED)
+    assert opened.out == 0 and taken.out == 0
+
+
+def test_memory_and_cold_work_are_asked_for_and_a_share_sets_the_bound():
+    memory, cold, share = Part(100), Part(100_000), Part(500_000)
+    world, allot = parted(agreement(managers=50), memory=memory, cold=cold, share=share)
+    world.engines((1, 0, 0, api.READY, 0, world.now))
+    first = [world.command() for _ in range(3)]
+    granted = memory.out
+    assert 0 < granted <= 100 and 0 < cold.out <= 100_000 and world.gateway._share() == 0.5
+    lacks = allot()
+    assert lacks[api.MEMORY, 1] >= 64 and lacks[api.COLD, 1] > 0 and lacks[api.SHARE, 0] >= 3
+    assert len(world.out()) < len(first)
