--- a/gullhold/revisions/change.py
+++ b/gullhold/revisions/change.py
@@ -111,7 +111,7 @@
         self.early, self.revision, self.roll = [], 0, 0
         self.change, self.change_at, self.current, self.current_at = None, 0, FIRST, 0
         self.words, self.past, self.since = {}, [], 0   # by member; numbers; since when it stands so
-        self.said = Counter()   # words less their reasons: ten thousand members are not looked through for each
+        self.said = Counter()   # words less their reasons: not all members are looked through for each
 
     def take(self):
         """What is to be done now, in order."""
--- a/gullhold/standins/crowd.py
+++ b/gullhold/standins/crowd.py
@@ -18,7 +18,7 @@
 from gullhold.standins.working import statement
 
 COUNTS = ("asked", "answered", "shed", "failed", "tries", "lost", "told", "came_back", "back_answered",
-          "back_shed", "again", "again_answered", "again_shed")
+          "back_shed", "again", "again_answered", "again_shed", "twice")
 OPEN_MOST = 32          # open on one connection, from the protocol
 FRAME_MOST = 100_000    # bytes of an answer
 PAUSE_S = 0.02          # s that a client told nothing waits before it asks for something else
@@ -148,7 +148,11 @@
 
     def _answered(self, answer, out, later, order):
         message, now = thrift.read(answer, thrift.REPLY, thrift.EXCEPTION), time.monotonic()
-        ask = out.pop(message.seq)
+        ask = out.pop(message.seq, None)
+        if ask is None:
+            with self.lock:
+                self.twice += 1
+            return
         shed = message.args.get((1, thrift.STRUCT)) if message.kind == thrift.REPLY else None
         with self.lock:
             if (0, thrift.STRUCT) in message.args:
