Policies: a canary that is dropped by itself; calls to the list's service under a budget

Change: a change may be tried by a part of the members for a stated time; all tell how their commands fare, and whoever carries it drops it where it is out of its bounds: all are back on the parent. lists: the follower of the list asks before it calls.

--- a/gullhold/__main__.py
+++ b/gullhold/__main__.py
@@ -7,6 +7,33 @@
 from gullhold import __version__
 
 
+def _policy(commands):
+    policy = commands.add_parser("policy", help="change the policy of a fleet, everywhere or nowhere")
+    policy.add_argument("what", choices=("propose", "diff", "status", "history", "drop", "undo", "check"))
+    policy.add_argument("file", nargs="?", help="propose, diff, check: the policy")
+    policy.add_argument("--register", default="127.0.0.1:2379", metavar="HOST:PORT", help="(127.0.0.1:2379)")
+    policy.add_argument("--name", default="main", help="which fleet (main)")
+    policy.add_argument("--why", default="", help="for those who read the history")
+    policy.add_argument("--author", default="", help="(who runs this)")
+    policy.add_argument("--overlap", choices=("loose", "strict"), default="loose",
+                        help="strict: no two sends under different policies at one moment (loose)")
+    policy.add_argument("--silence", choices=("wait", "drop"), default="drop",
+                        help="what becomes of it where a gateway says nothing in time (drop)")
+    policy.add_argument("--patience", type=float, default=10, metavar="SECONDS", help="in time: (10)")
+    policy.add_argument("--wait", type=float, default=0, metavar="SECONDS",
+                        help="wait for what becomes of it; status 0 in force, 3 dropped, 4 not known yet")
+    policy.add_argument("--canary", type=float, default=0, metavar="PART",
+                        help="so great a part of the gateways goes by it first (0: none)")
+    policy.add_argument("--canary-seconds", type=float, default=30, metavar="SECONDS",
+                        help="for so long (30)")
+    policy.add_argument("--most-failed", type=float, default=0.05, metavar="SHARE",
+                        help="dropped where more of their commands fail (0.05)")
+    policy.add_argument("--most-slower", type=float, default=1.5, metavar="TIMES",
+                        help="dropped where answers take so many times as long as the others' (1.5)")
+    policy.add_argument("--number", type=int, default=0, help="status: of this one")
+    policy.add_argument("--json", action="store_true", help="history: a JSON object a line")
+
+
 def parser():
     """Its sub-commands and their help."""
     top = argparse.ArgumentParser(prog="gullhold", description="A query gateway: what runs, where, when.")
@@ -48,22 +75,7 @@
     asked.add_argument("--alone", type=int, default=0, help="plan: kept back for each (0)")
     asked.add_argument("--seconds", type=float, default=30, help="report: watched for so long (30)")
     asked.add_argument("--out", default="budgets.html", metavar="FILE", help="report: (budgets.html)")
-    policy = commands.add_parser("policy", help="change the policy of a fleet, everywhere or nowhere")
-    policy.add_argument("what", choices=("propose", "diff", "status", "history", "drop", "undo", "check"))
-    policy.add_argument("file", nargs="?", help="propose, diff, check: the policy")
-    policy.add_argument("--register", default="127.0.0.1:2379", metavar="HOST:PORT", help="(127.0.0.1:2379)")
-    policy.add_argument("--name", default="main", help="which fleet (main)")
-    policy.add_argument("--why", default="", help="for those who read the history")
-    policy.add_argument("--author", default="", help="(who runs this)")
-    policy.add_argument("--overlap", choices=("loose", "strict"), default="loose",
-                        help="strict: no two sends under different policies at one moment (loose)")
-    policy.add_argument("--silence", choices=("wait", "drop"), default="drop",
-                        help="what becomes of it where a gateway says nothing in time (drop)")
-    policy.add_argument("--patience", type=float, default=10, metavar="SECONDS", help="in time: (10)")
-    policy.add_argument("--wait", type=float, default=0, metavar="SECONDS",
-                        help="wait for what becomes of it; status 0 in force, 3 dropped, 4 not known yet")
-    policy.add_argument("--number", type=int, default=0, help="status: of this one")
-    policy.add_argument("--json", action="store_true", help="history: a JSON object a line")
+    _policy(commands)
     commands.add_parser("version", help="print the version")
     return top
 
--- a/gullhold/budgets/driver.py
+++ b/gullhold/budgets/driver.py
@@ -4,6 +4,8 @@
 read, and hears what was counted. The divider runs on the fleet's thread, its calls on a lane of their own.
 """
 
+from queue import Empty, SimpleQueue
+
 from gullhold import interface as api
 from gullhold.budgets import duty, ledger
 from gullhold.budgets.demand import Teller
@@ -12,15 +14,16 @@
 from gullhold.fleet.calls import DONE, Get, Put, Read, Txn
 
 OF = {"threads": api.THREADS, "memory": api.MEMORY, "open": api.OPEN, "further": api.FURTHER,
-      "cold": api.COLD, "taken": api.TAKEN, "share": api.SHARE}   # the operator's words
+      "cold": api.COLD, "taken": api.TAKEN, "share": api.SHARE, "lists": api.LISTS}   # the operator's words
 WORDS = {number: word for word, number in OF.items()}
-HELD, WINDOWED = (api.THREADS, api.MEMORY, api.OPEN), (api.FURTHER, api.COLD, api.TAKEN)
+HELD, WINDOWED = (api.THREADS, api.MEMORY, api.OPEN), (api.FURTHER, api.COLD, api.TAKEN, api.LISTS)
 EACH = (api.THREADS, api.MEMORY, api.COLD)    # one for each engine
 TENANTS = (api.OPEN, api.TAKEN)
 SETTLE_US = 500_000      # us that what was given up may run on at an engine: an abort on its way, twice
 LINGER_US = 1_000_000    # us over the longest client timeout: nothing that an engine was sent waits longer
 LEAST_US = 50_000        # us between reports of one member
 CALM = 5                 # looks that are left out while nothing runs dry and nothing is to be given back
+PATIENCE_S = 1.0         # that the follower of the list waits for the core's word
 LANES = ("reports", "dividing")   # of calls: neither waits for the other
 
 
@@ -106,11 +109,30 @@
             self.purses.told(lease, write, row)
         self.core.allot(self.purses, self._counted)
 
+    def _list_call(self, answer):
+        part = self.purses(api.LISTS, 0)
+        may = part is None or part.may(1)
+        if part is not None:
+            part.begin(1) if may else part.refused(1)
+        answer.put(may)
+
     def _counted(self, lacks):
         purses, told = self.purses, self.purses.report(lacks)
         cut, purses.cut = purses.cut, False
         self.fleet.queue.put(("counted", purses.under, purses.seen, cut, told, purses.parts()))
 
+    # On the thread that follows the list
+
+    def may_call_lists(self):
+        """Whether the list's service may be called now; counted if so. Waits for the core, not longer than a
+        moment."""
+        answer = SimpleQueue()
+        self.core.first(self._list_call, answer)
+        try:
+            return answer.get(timeout=PATIENCE_S)
+        except Empty:   # it comes later: counted, and not made
+            return False
+
     # On the fleet's thread
 
     def due(self, now):
--- a/gullhold/interface.py
+++ b/gullhold/interface.py
@@ -31,9 +31,10 @@
 LACKS = 7   # (LACKS, ((budget, of what, amount), ...)): what held commands would need beside what is out
 
 # Budgets of a fleet. Held: threads, and MB, on an engine; commands of a tenant that are open. Over a window:
-# further sends; millionths of what a cold engine can stand; commands of a tenant that are taken. By weight:
-# millionths of the traffic. "Of what": an engine's id, a tenant's index, or 0.
-THREADS, MEMORY, OPEN, FURTHER, COLD, TAKEN, SHARE = range(7)
+# further sends; millionths of what a cold engine can stand; commands of a tenant that are taken; calls to the
+# list's service (the front's). By weight: millionths of the traffic. "Of what": an engine's id, a tenant's
+# index, or 0.
+THREADS, MEMORY, OPEN, FURTHER, COLD, TAKEN, SHARE, LISTS = range(8)
 
 
 class Profile(NamedTuple):
--- a/gullhold/net/coordinator.py
+++ b/gullhold/net/coordinator.py
@@ -96,6 +96,7 @@
         self.last, self.core, self.most, self.names = last, core, most, names
         self.address, self.sock, self.moved = address and host_port(address), None, Event()
         self.lost = lambda: None   # called from this thread whenever the stream has ended: a look for a move
+        self.may_call = lambda: True   # whether the service may be called now: a budget of the fleet's
 
     def move(self, address):
         """From any thread: follow the stream at this address, on from the last event."""
@@ -116,6 +117,9 @@
             if address is None:
                 self.moved.wait()
                 continue
+            if not self.may_call():
+                self.moved.wait(wait)
+                continue
             try:
                 ending, text = self._follow(address, wait), ""
             except TimeoutError:
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -510,6 +510,8 @@
         cmd = send.command
         if cmd.client:
             self.counters.add("answered")
+            if self.gate:   # a canary is judged by it
+                self.counters.add("answered us", self.now - cmd.timeout_at + cmd.request.limit_us)
             message = thrift.answer("execute", cmd.seq, b"".join(send.pages))
             self._answer(cmd, message)
         self._end_send(send, api.ANSWERED)
--- a/gullhold/net/counters.py
+++ b/gullhold/net/counters.py
@@ -1,4 +1,4 @@
-"""What the gateway took in, sent and answered; for staff only, nothing reads them to decide."""
+"""What the gateway took in, sent and answered: for staff, and for a canary of the fleet's."""
 
 from collections import Counter
 from threading import Lock
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -178,6 +178,8 @@
     coordinator = runs["coordinator"].__self__
     reread = Reread(path, seen, coordinator)
     coordinator.lost = reread.if_changed
+    if fleet and fleet.budgets:
+        coordinator.may_call = fleet.budgets.may_call_lists
 
     def leave():
         core.first(core.leave)
--- a/gullhold/operator/records.py
+++ b/gullhold/operator/records.py
@@ -140,8 +140,10 @@
             raise ValueError(f"alone for {self.members} members is over the whole of {self.whole}")
         if self.tenant and self.of not in ("open", "taken"):
             raise ValueError(f"a budget of {self.of} has no tenant")
-        if self.of == "taken" and not self.window:
-            raise ValueError("a budget of commands taken needs a window")
+        if self.of in ("taken", "lists") and not self.window:
+            raise ValueError(f"a budget of {self.of} needs a window")
+        if self.of == "lists" and not self.alone:
+            raise ValueError("a budget of lists needs alone: it must hear of engines then too")
         if self.window and self.of in ("threads", "memory", "open", "share"):
             raise ValueError(f"a budget of {self.of} has no window")
         return self
--- a/gullhold/operator/schema.cue
+++ b/gullhold/operator/schema.cue
@@ -133,8 +133,8 @@
 // One budget, or one for each engine (threads, memory, cold) or tenant (open, taken).
 #Budget: {
 	// threads, MB of memory on an engine; commands of a tenant open, or taken within the window; further sends
-	// within the window; work sent to a cold engine; share of the traffic.
-	of: "threads" | "memory" | "open" | "taken" | "further" | "cold" | "share"
+	// within the window; work sent to a cold engine; share of the traffic; calls to the list's service within it.
+	of: "threads" | "memory" | "open" | "taken" | "further" | "cold" | "share" | "lists"
 	// open, taken: of this tenant alone; "": one like it for each that has none of its own.
 	tenant: *"" | string
 	// Of the fleet; cold, share: millionths, where 1000000 is all that may be expected.
--- a/gullhold/revisions/change.py
+++ b/gullhold/revisions/change.py
@@ -8,6 +8,7 @@
 
 import json
 from collections import Counter
+from hashlib import blake2s
 from itertools import count
 from typing import NamedTuple
 
@@ -22,10 +23,13 @@
 DUTY = "policy"
 # States of a change; DECIDED and DROPPED are what one write made of it.
 PROPOSED, CHECKED, PREPARED, DECIDED, DROPPED = "proposed", "checked", "prepared", "decided", "dropped"
-MOVES = {PROPOSED: (CHECKED, DROPPED), CHECKED: (PREPARED, DECIDED, DROPPED), PREPARED: (DECIDED, DROPPED),
-         DECIDED: (None,), DROPPED: (None,)}
-# Words of members, about a change or about what is in force.
-READY, REFUSED, STILL, UNDER = "ready", "refused", "still", "under"
+CANARY = "canary"      # some members go by it for a stated time, and all tell what became of their commands
+MOVES = {PROPOSED: (CHECKED, DROPPED), CHECKED: (CANARY, PREPARED, DECIDED, DROPPED),
+         CANARY: (DECIDED, DROPPED), PREPARED: (DECIDED, DROPPED), DECIDED: (None,), DROPPED: (None,)}
+# Words of members, about a change or about what is in force. TRIAL: ready, and going by it meanwhile.
+READY, TRIAL, REFUSED, STILL, UNDER = "ready", "trial", "refused", "still", "under"
+ENOUGH = {READY: (READY, TRIAL, STILL), STILL: (STILL,)}   # words that say as much
+LEAST_TOLD = 20        # commands of a canary from which its share of failures tells something
 LOOSE, STRICT = "loose", "strict"
 WAIT, DROP = "wait", "drop"
 READ, WRITE, FOLLOW, TELL = range(4)   # what it hands out
@@ -33,9 +37,19 @@
 AGAIN_US = 200_000     # us until the next try after a reply that proves nothing
 
 
+class Canary(NamedTuple):
+    """A trial before all go by it: so great a part of the members, for so long; it is dropped where a greater
+    share of their commands fails, or their answers take so many times as long as the others'."""
+
+    part: float
+    time_us: int
+    failed_most: float = 0.05
+    slower_most: float = 1.5
+
+
 class Open(NamedTuple):
     """The open change as it stands. overlap: LOOSE or STRICT; silence: what is made of members that say
-    nothing for patience_us: WAIT or DROP; drop: staff want it dropped."""
+    nothing for patience_us: WAIT or DROP; drop: staff want it dropped; canary, and trial: its members."""
 
     record: Record
     state: str = PROPOSED
@@ -44,6 +58,8 @@
     patience_us: int = 10_000_000
     why: str = ""
     drop: bool = False
+    canary: Canary | None = None
+    trial: tuple = ()
 
     def pack(self):
         """As the register holds it."""
@@ -54,18 +70,22 @@
     """The Open that stands there; its record is not checked for its digest. Unfit: it can't be read."""
     try:
         told = json.loads(text)
-        return Open(**told | {"record": Record(**told["record"])})
+        canary = told.get("canary")
+        return Open(**told | {"record": Record(**told["record"]), "canary": canary and Canary(*canary),
+                              "trial": tuple(told.get("trial", ()))})
     except (ValueError, TypeError, KeyError):
         raise Unfit("a change that can't be read") from None
 
 
 class Word(NamedTuple):
-    """What one member says. under: the number by which it decides; about: the change, 0: none."""
+    """What one member says. under: the number by which it decides; about: the change, 0: none; figures, while
+    a canary runs: commands answered, failed, and us that the answers took."""
 
     under: int
     about: int = 0
     word: str = UNDER
     why: str = ""
+    figures: tuple = ()
 
     def pack(self):
         """As the register holds it."""
@@ -75,8 +95,9 @@
 def word_of(text):
     """A Word; one that can't be read stands for a member that says nothing."""
     try:
-        return Word(**json.loads(text))
-    except (ValueError, TypeError):
+        told = json.loads(text)
+        return Word(**told | {"figures": tuple(told.get("figures", ()))})
+    except (ValueError, TypeError, AttributeError):
         return Word(-1, 0, "?")
 
 
@@ -93,6 +114,8 @@
     current = records.unpack(items[CURRENT]) if CURRENT in items else FIRST
     if record.parent != current.number:
         raise Unfit(f"{current.number} is in force, not {record.parent}")
+    if how.get("canary") and how.get("overlap") == STRICT:
+        raise Unfit("a canary lets old and new run side by side: it can't be strict")
     acts = (Put(CHANGE, Open(record, **how).pack()),)
     return acts, ((CHANGE, 0), (CURRENT, revisions.get(CURRENT, 0)), (past_key(record.number), 0))
 
@@ -133,7 +156,10 @@
             return now + AGAIN_US
         if not self.loaded:
             return max(now, self.again_at)
-        return max(now, self.since + self.change.patience_us) if self.change else now + AGAIN_US * 10
+        if self.change is None:
+            return now + AGAIN_US * 10
+        canary = self.change.state == CANARY
+        return max(now, self.since + (self.change.canary.time_us if canary else self.change.patience_us))
 
     def step(self, now):
         """Do what is next, if nothing is under way."""
@@ -160,11 +186,47 @@
     def _checked(self, now):
         if self._refused(now):
             return
-        if self._all(READY):
-            self._to(now, PREPARED if self.change.overlap == STRICT else DECIDED)
+        if not self._all(READY):
+            self._silent(now, READY)
+        elif self.change.canary:
+            number = self.change.record.number
+            ranked = sorted(self.words, key=lambda name: blake2s(f"{number} {name}".encode()).digest())
+            some = ranked[:max(1, round(self.change.canary.part * len(ranked)))]
+            self._to(now, CANARY, trial=tuple(some))
         else:
+            self._to(now, PREPARED if self.change.overlap == STRICT else DECIDED)
+
+    def _canary(self, now):
+        """Out of its bounds it is dropped, by whoever carries it; else it goes on when its time is over."""
+        if self._refused(now):
+            return
+        why = self._bad(over := now >= self.since + self.change.canary.time_us)
+        if why:
+            self._to(now, DROPPED, "canary: " + why)
+        elif over and self._all(READY) and all(
+                word.figures for member, word in self.words.items() if member in self.change.trial):
+            self._to(now, DECIDED)
+        elif over:
             self._silent(now, READY)
 
+    def _bad(self, over):
+        """What is wrong with the canary, "": nothing. over: its time is over."""
+        number, canary = self.change.record.number, self.change.canary
+        sums = {True: [0, 0, 0], False: [0, 0, 0]}
+        for member, word in self.words.items():
+            if word.about == number and word.figures:
+                tried = member in self.change.trial
+                sums[tried] = [a + b for a, b in zip(sums[tried], word.figures, strict=True)]
+        there = [word for member, word in self.words.items() if member in self.change.trial]
+        if not there:
+            return "none of its members is left"
+        (answered, failed, us), (others, _, others_us) = sums[True], sums[False]
+        if answered + failed >= LEAST_TOLD and failed > canary.failed_most * (answered + failed):
+            return f"{failed} of {answered + failed} commands failed"
+        if over and answered and others and us / answered > canary.slower_most * others_us / others:
+            return f"answers took {us // answered} us, the others' {others_us // others}"
+        return ""
+
     def _prepared(self, now):
         if self._refused(now):
             return
@@ -185,8 +247,8 @@
             self._write((Drop(CHANGE),))
 
     def _all(self, word):
-        number, enough = self.change.record.number, (READY, STILL) if word == READY else (STILL,)
-        return bool(self.said) and all(about == number and one in enough for _, about, one in self.said)
+        number = self.change.record.number
+        return bool(self.said) and all(about == number and one in ENOUGH[word] for _, about, one in self.said)
 
     def _refused(self, now):
         number = self.change.record.number
@@ -201,14 +263,14 @@
         """Some have not said their word: the change waits, or is dropped, as the operator chose."""
         if self.change.silence == DROP and now >= self.since + self.change.patience_us:
             silent = [member for member, one in self.words.items()
-                      if one.about != self.change.record.number or one.word != word]
+                      if one.about != self.change.record.number or one.word not in ENOUGH[word]]
             names = ", ".join(sorted(silent)[:5]) or "nobody is there"
             self._to(now, DROPPED, f"not {word} in time: {names}")
 
-    def _to(self, now, state, why=""):
+    def _to(self, now, state, why="", trial=()):
         """The one place where a change's state is written."""
         assert state in MOVES[self.change.state], f"{self.change.state} to {state}"
-        change = self.change._replace(state=state, why=why)
+        change = self.change._replace(state=state, why=why, trial=trial)
         acts = [Put(CHANGE, change.pack())]
         if state in (DECIDED, DROPPED):
             number = change.record.number
--- a/gullhold/revisions/driver.py
+++ b/gullhold/revisions/driver.py
@@ -27,7 +27,7 @@
         self.budgets = {f"{item.of}/{item.tenant}" if item.tenant else item.of: (
             item.whole, item.alone * item.members) for item in record.budgets}
         self.gate = member.Gate(fleet.owner.lease, clock, surely_us, self.record.cut)
-        self.member = member.Member(fleet.name, self.gate, self.fits)
+        self.member = member.Member(fleet.name, self.gate, self.fits, self._figures)
         self.carrier = change.Carrier(self.fits)
         self.lowest = {}   # wholes while a change is open: neither old nor new parts sum to more than either
         self.given = None
@@ -56,6 +56,11 @@
         except Unfit as fault:
             return str(fault)
 
+    def _figures(self):
+        """Commands answered, failed or shed, and us that answers took; counted by the core."""
+        counts = self.core.counters.counts
+        return counts["answered"], counts["failed"] + counts["shed"], counts["answered us"]
+
     def start(self, follow):
         """follow(name, prefix, what): a watcher of these keys, whose changes come as this event."""
         self.now = follow("policy", change.NOW, "policy_changed")
@@ -109,7 +114,7 @@
         policy = records.read(record.text, f"policy {record.number}")
         terms = records.for_module(policy, self.deal)
         self.core.first(self._on_core, serial, terms, records.wholes(policy, self.budgets), record.number)
-        if serial and self.record.snapshot:
+        if serial and self.record.snapshot and not self.member.trial:
             try:
                 snapshot.write(self.record.snapshot, record, time.time_ns() // 1000)
             except OSError as fault:
--- a/gullhold/revisions/member.py
+++ b/gullhold/revisions/member.py
@@ -8,6 +8,7 @@
 from gullhold.fleet.calls import DONE, MAYBE, Get, Put, Txn
 from gullhold.revisions import record as records
 from gullhold.revisions.change import (
+    CANARY,
     CHANGE,
     CHECKED,
     CURRENT,
@@ -19,6 +20,7 @@
     ROLL,
     STILL,
     STRICT,
+    TRIAL,
     WORDS,
     Word,
     change_of,
@@ -31,6 +33,7 @@
 CALL, ADOPT, STOP, FOLLOW, TELL = range(5)   # what it hands out
 KEEP, STAND = "keep", "stand"                # cut off with a change open: until its lease ends, or sooner
 LOOKS = 3        # looks at what stands in the time that one counts
+FIGURES_US = 500_000   # between figures told while a canary runs
 STAND_PART = 3   # of a lease's time, one over this is not used by one that stands: a keeping call was missed
 AGAIN_US = 200_000
 
@@ -67,11 +70,13 @@
     Handed out: (CALL, serial, request), answered by replied(); (ADOPT, serial, record), answered by adopted()
     when the core goes by it; (STOP, number), by stopped() when the core has stopped sending; (FOLLOW,
     revision): of what is now, to changed(); (TELL, level, text, facts).
-    fits(record): what is wrong with it, by our agreement and files; "": nothing.
+    fits(record): what is wrong with it, by our agreement and files; "": nothing. figures(): commands
+    answered, failed, and us that answers took, since the start.
     """
 
-    def __init__(self, name, gate, fits):
-        self.name, self.gate, self.fits = name, gate, fits
+    def __init__(self, name, gate, fits, figures=lambda: (0, 0, 0)):
+        self.name, self.gate, self.fits, self.figures = name, gate, fits, figures
+        self.trial, self.began, self.tell_at = 0, (), 0   # going by a canary; its figures count from; next
         self.state, self.out, self.lease, self.record = AWAY, [], 0, FIRST
         self.under_way, self.again_at, self.serial = None, 0, 0
         self.seen, self.roll, self.change_at, self.current_at = 0, 0, 0, 0
@@ -93,7 +98,7 @@
         if lease != self.lease:
             self.lease, self.under_way, self.again_at = lease, None, 0
             self.gate.under, self.gate.still, self.gate.asked = 0, False, 0
-            self.word, self.word_at, self.said, self.change = None, 0, None, None
+            self.word, self.word_at, self.said, self.change, self.trial = None, 0, None, None, 0
             self._become(LEARNING if lease else AWAY)
         if not lease or self.under_way or now < self.again_at:
             return
@@ -103,7 +108,7 @@
             when = ((CURRENT, self.current_at), (CHANGE, self.change_at), (ROLL, self.roll))
             self._call("enrolled", Txn(when, (Put(self.key(), Word(self.record.number).pack(), self.lease),
                                               Put(ROLL, self.name))))
-        elif self.state == ON and self.word and self.word != self.said:
+        elif self.state == ON and self._tell_figures(now) and self.word != self.said:
             self._call("told", Txn(((self.key(), self.word_at),), (
                 Put(self.key(), self.word.pack(), self.lease),), (Get(self.key()),)))
             self.said = None   # until its reply is here, it is not known what stands
@@ -112,6 +117,18 @@
         if self.under_way:
             self.sent_at = now
 
+    def _tell_figures(self, now):
+        """While a canary runs all tell how their commands fare; whether there is a word to say."""
+        change = self.change
+        if (change and change.state == CANARY and now >= self.tell_at and
+                self.word.about == change.record.number):
+            self.tell_at = now + FIGURES_US
+            told = self.figures()
+            self.began = self.began or told
+            self._say(self.word._replace(figures=tuple(
+                new - old for new, old in zip(told, self.began, strict=True))))
+        return self.word is not None
+
     def _call(self, purpose, request):
         self.serial += 1
         self.under_way = (purpose, self.serial, self.word)
@@ -157,9 +174,14 @@
         if why:
             self._unfit(now, why)
             return
-        self.gate.still, self.record = True, record
+        self.record, self.trial = record, 0
         if self.state == LEARNING:
             self._become(ADOPTING)
+        self._take_over(record)
+
+    def _take_over(self, record):
+        """Nothing is sent until the core goes by it."""
+        self.gate.still = True
         self.adopting += 1
         self.out.append((ADOPT, self.adopting, record))
 
@@ -175,6 +197,10 @@
             return
         if self.state == ADOPTING:
             self._become(ENROLLING)
+        elif self.state == ON and self.trial:
+            self.gate.still = False
+            self._say(self.word._replace(word=TRIAL))
+            self.out.append((TELL, "info", "tries", {"number": self.trial}))
         elif self.state == ON:
             self._say(Word(self.record.number))
             self.gate.still, self.gate.asked = False, 0
@@ -247,12 +273,15 @@
         number = change.record.number if change else 0
         if change is None or change.state == DECIDED:
             return
-        if change.state == DROPPED:
+        if change.state == DROPPED and self.trial:   # back on the parent
+            self.trial = 0
+            self._take_over(self.record)
+        elif change.state == DROPPED:
             if self.gate.still or self.gate.asked:
                 self.gate.still, self.gate.asked = False, 0
                 self.out.append((TELL, "info", "change dropped", {"number": number, "why": change.why}))
             self._say(Word(self.record.number))
-        elif change.state in (CHECKED, PREPARED) and self.word.about != number:
+        elif change.state in (CHECKED, CANARY, PREPARED) and self.word.about != number:
             try:
                 why = self.fits(records.unpack(change.record._asdict()))
             except Unfit as fault:
@@ -261,6 +290,11 @@
                 self.out.append((TELL, "warning", "change refused", {"number": number, "why": why}))
             self.gate.asked = 0 if why else number
             self._say(Word(self.record.number, number, REFUSED if why else READY, why))
+            self.began = ()
+        tried = self.key().removeprefix(WORDS) in change.trial
+        if change.state == CANARY and tried and not self.trial and self.word.word == READY:
+            self.trial = number
+            self._take_over(change.record)
         if change.state == PREPARED and change.overlap == STRICT and self.word.word == READY:
             self.gate.still = True
             self.out.append((STOP, number))
--- a/gullhold/revisions/show.py
+++ b/gullhold/revisions/show.py
@@ -167,6 +167,9 @@
 
 def _propose(office, args, text=None, why=None):
     how = {"overlap": args.overlap, "silence": args.silence, "patience_us": int(args.patience * 1e6)}
+    if args.canary:
+        how["canary"] = change.Canary(args.canary, int(args.canary_seconds * 1e6), args.most_failed,
+                                      args.most_slower)
     record = office.propose(text or _text(args), args.author or getpass.getuser(), why or args.why, **how)
     print(f"{record.number} is proposed on {record.parent}; digest {record.digest}")
     return office.wait(record.number, args.wait)[0] if args.wait else UNKNOWN
--- a/gullhold/standins/changecheck.py
+++ b/gullhold/standins/changecheck.py
@@ -21,7 +21,7 @@
 DUTY = "duties/" + change.DUTY
 OF_CALLS = ("lose the reply", "hold back", "refuse")
 FAULTS = (*OF_CALLS, "die", "cut", "elect", "miss", "deaf")
-BAD, SETTLED = "bad", 40
+BAD, SOUR, SETTLED = "bad", "sour", 40   # refused by one member; of which commands fail; moments to settle
 PATIENCE_US = 4 * QUANTUM_US
 
 
@@ -39,12 +39,22 @@
     def __init__(self, world, name, rate):
         self.world, self.name, self.rate, self.cut = world, name, rate, False
         self.lease, self.number, self.todo, self.seen = Lease(TERMS), 0, [], None
+        self.text, self.told, self.failed = "", 0, 0
         self.gate = world.make["gate"](self.lease, self, TERMS.surely_us(), world.make["cut"])
-        self.member = world.make["member"](name, self.gate, lambda record: world.fits(record, name))
+        self.member = world.make["member"](name, self.gate, lambda record: world.fits(record, name),
+                                           self.figures)
 
     def __call__(self):
         return int(self.world.now * self.rate)
 
+    def figures(self):
+        """Thirty commands more at each look, which fail under what is sour."""
+        if self.text == SOUR:
+            self.failed += 30
+        else:
+            self.told += 30
+        return self.told, self.failed, self.told
+
 
 class World:
     """Members, carriers, register, and what is under way. act() takes one of actions(); raises Broken.
@@ -60,6 +70,7 @@
         self.seen, self.owner, self.proposed = [None, None], 0, 0
         self.members, self.calls, self.replies, self.ghosts = [], [], [], []
         self.decided_at, self.decided, self.order, self.opened = {0: self.now}, 0, [0], False
+        self.tried = {}   # by number: when a canary was last under way, its members
         for name in NAMES:
             self._do_come(name)
         self._do_elect(0)
@@ -159,6 +170,10 @@
         item = self.model.keys.get(change.CURRENT)
         number = change.records.unpack(item.value).number if item else 0
         opened, self.opened = self.opened, change.CHANGE in self.model.keys
+        if self.opened:
+            now = change.change_of(self.model.keys[change.CHANGE].value)
+            if now.state == change.CANARY:
+                self.tried[now.record.number] = (self.now, now.trial)
         if opened and not self.opened:   # staff hear: in force everywhere
             late = [one.name for one in self.members if one.gate() and one.number != number]
             if late:
@@ -239,7 +254,7 @@
         one = self.members[i]
         what, number, record = one.todo.pop(0)
         if what == "adopted":
-            one.number = record.number
+            one.number, one.text = record.number, record.text
         getattr(one.member, what)(one(), number)
         self._gather(one)
 
@@ -269,13 +284,19 @@
         revisions = {key: item.revision for key, item in self.model.keys.items()}
         self.proposed += 1
         record = Record(self.proposed, self.decided, "", "", 0, text).sealed()
+        canary = change.Canary(0.4, 2 * PATIENCE_US) if (
+            self.overlap == change.LOOSE and self.proposed % 2) else None
         acts, when = change.propose(record, items, revisions, overlap=self.overlap, patience_us=PATIENCE_US,
-                                    silence=change.DROP)
+                                    silence=change.DROP, canary=canary)
         self.model.call(Txn(when, acts), self.now)
 
     def _do_send(self, i):
         """What goes out goes by what the core has."""
         one = self.members[i]
+        tried_at, trial = self.tried.get(one.number, (0, ()))
+        if one.member.key().removeprefix(change.WORDS) in trial and (
+                self.now <= tried_at + TERMS.ttl_s * 1_000_000) and one.number not in self.order:
+            return
         if one.number not in self.order:
             raise Broken(f"{one.name} sends under {one.number}, which was never decided")
         if self.overlap == change.STRICT and one.number != self.order[-1]:
--- a/tests/test_fleet_budgets.py
+++ b/tests/test_fleet_budgets.py
@@ -1,13 +1,16 @@
 """Budgets of a fleet of real processes: engines count, and never more than the whole is in use."""
 
 import json
+import socket
 import time
+from contextlib import suppress
 from itertools import count
+from threading import Thread
 
 import pytest
 
 from gullhold.fleet.spread import Spread
-from gullhold.standins import crowd
+from gullhold.standins import crowd, listening
 from gullhold.standins.budgetcheck import Parts, first_sends, further_sends, most_at_once, most_in_window
 from gullhold.standins.counting import CountingEngine
 from gullhold.standins.fleet import Rig
@@ -204,6 +207,27 @@
         assert 6 <= most <= 12 and len(further) >= 12, (most, len(further))
 
 
+def test_calls_to_the_lists_service_are_counted_for_the_fleet_where_it_ends_every_stream():
+    budget, calls = {"of": '"lists"', "whole": 6, "window": "2s", "alone": 1, "members": 3}, []
+    sock, address = listening()
+
+    def serve():
+        with suppress(OSError):
+            while True:
+                conn = sock.accept()[0]
+                calls.append((time.time(), 1))
+                conn.close()
+
+    Thread(target=serve, daemon=True).start()
+    with rig(budgets=[budget], coordinator=address) as fleet:
+        fleet.start()   # without a budget each asks four times a second
+        time.sleep(5.0)
+        sock.shutdown(socket.SHUT_RDWR)
+    sock.close()
+    most, _ = most_in_window(calls, 2.0)
+    assert 3 <= most <= 6 and len(calls) >= 8, (most, len(calls))
+
+
 def test_a_whole_that_is_lowered_below_what_is_out_comes_down_and_cancels_nothing():
     with rig(2, make=lambda seed: CountingEngine(slots=64, seed=seed, runs_on=True)) as fleet:
         fleet.start()
@@ -328,6 +352,7 @@
                       ('{of: "threads", whole: 5, alone: 2}', "needs members"),
                       ('{of: "taken", whole: 5}', "needs a window"),
                       ('{of: "threads", whole: 5, window: 1s}', "has no window"),
+                      ('{of: "lists", whole: 5, window: 1s}', "needs alone"),
                       ('{of: "cold", tenant: "a"}', "has no tenant"),
                       ('{of: "share"}, {of: "share"}', "two of the same")):
         with pytest.raises(records.Bad, match=why):
--- a/tests/test_fleet_change.py
+++ b/tests/test_fleet_change.py
@@ -11,7 +11,7 @@
 from gullhold.fleet.spread import Spread
 from gullhold.revisions import record as records
 from gullhold.revisions import snapshot
-from gullhold.revisions.change import CHANGE, Open, past_key
+from gullhold.revisions.change import CHANGE, Canary, Open, change_of, past_key
 from gullhold.revisions.record import Record, Unfit
 from gullhold.revisions.show import DROPPED, IN_FORCE, UNKNOWN, Office
 from gullhold.standins import crowd
@@ -270,6 +270,37 @@
         judged(fleet, [20], strict=True)
 
 
+def test_a_canary_that_goes_bad_as_its_carrier_dies_is_dropped_and_a_good_one_comes():
+    with rig(make=lambda seed: CountingEngine(slots=64, seed=seed, fails=0.3)) as fleet:
+        fleet.start()
+        on(fleet)
+        office, clients = Office(fleet.register_address, "rig"), load(fleet, rate=60.0)
+        canary = Canary(0.34, 6_000_000, 0.1, 9.0)
+
+        def state():
+            items, _ = office.read()
+            return change_of(items[CHANGE]).state if CHANGE in items else ""
+
+        # Of a command that fails one in three times and is sent once, a third are not answered.
+        record = office.propose("policy: {grants: read: 20, sends: read: 1}", "a", "b", canary=canary)
+        fleet.until(lambda: state() == "canary")
+        victim = fleet.owners()["policy"][0]
+        fleet.kill(victim)
+        status, line = office.wait(record.number, 8)
+        assert status == DROPPED and "canary: " in line, line
+        fleet.start(victim)
+        on(fleet, 0)
+        time.sleep(0.1)
+        tried = [at for at, place in by_policy(fleet.engines, [20]) if place]
+        assert not tried or max(tried) < time.time() - 0.05   # all are back on the parent
+        record = office.propose(granting(21), "a", "b", canary=Canary(0.34, 1_200_000, 0.3, 9.0))
+        assert office.wait(record.number, 8)[0] == IN_FORCE
+        on(fleet, record.number)
+        end(clients)
+        check = Changes(fleet.lines())
+        assert check.outcomes == {1: "dropped", 2: "decided"} and not check.without_all
+
+
 def test_a_snapshot_is_whole_or_not_there_and_is_gone_by_without_a_register_for_a_while(tmp_path):
     path = tmp_path / "last"
     record = Record(3, 2, "a", "b", 0, granting(20)).sealed()
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -123,6 +123,45 @@
                     line("policy/now/change", strict.pack())]).without_all == 1
 
 
+@pytest.mark.parametrize("text, comes", [("good", True), (changecheck.SOUR, False), (changecheck.BAD, False)])
+def test_a_canary_is_tried_by_some_and_dropped_where_it_goes_bad(text, comes):
+    world = changecheck.World(change.LOOSE, faults=0)
+    world.calm()
+    world.act("propose", text)
+    seen = set()
+    for _ in range(16):
+        world.act("time")
+        while todo := world.fair():
+            world.act(*todo)
+        item = world.model.keys.get(change.CHANGE)
+        seen |= {change.change_of(item.value).state} if item else set()
+        tried = [one.number for one in world.members if one.number]
+        assert len(tried) <= 1 or world.decided
+    world.calm()
+    world.settled()
+    assert world.decided == (1 if comes else 0) and (change.CANARY in seen) == (text != changecheck.BAD)
+
+
+def test_a_canary_that_is_slower_than_the_others_is_out_of_its_bounds():
+    carrier = change.Carrier(lambda record: "")
+    opened = change.Open(Record(1, 0, "", "", 0, "policy: {}").sealed(), change.CANARY, trial=("a/1",),
+                         canary=change.Canary(0.5, 1000, 0.1, 1.5))
+    carrier.change = opened
+
+    def bad(trial, others, over=True):
+        carrier.words = {"a/1": change.Word(0, 1, change.TRIAL, "", trial),
+                         "b/1": change.Word(0, 1, change.READY, "", others)}
+        return carrier._bad(over)
+
+    assert "took 200 us, the others' 100" in bad((10, 0, 2000), (10, 0, 1000))
+    assert not bad((10, 0, 2000), (10, 0, 1000), over=False) and not bad((10, 0, 1500), (10, 0, 1000))
+    assert "3 of 23" in bad((20, 3, 0), (0, 0, 0), over=False) and not bad((10, 3, 0), (0, 0, 0))
+    carrier.words = {"b/1": change.Word(0, 1, change.READY)}
+    assert "none of its members" in carrier._bad(False)
+    with pytest.raises(Unfit, match="can't be strict"):
+        change.propose(opened.record, {}, {}, overlap=change.STRICT, canary=opened.canary)
+
+
 @settings(derandomize=True, max_examples=40, deadline=None)
 @given(st.integers(0, 2**32))
 def test_walks_through_changes_keep_everywhere_or_nowhere(seed):
