--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -356,30 +356,41 @@
         figures.update(facts)
         print(f"{time.monotonic() - began:6.1f} s", facts, flush=True)
 
-    with ProcessPoolExecutor(3) as pool:   # beside what no other work can spoil
+    budgets, cold = [threads()], {"of": '"cold"', "window": "1s"}
+    six, spare = [f"n{i}" for i in range(6)], [threads(alone=10, members=6)]
+    # Rigs two at a time, decisions beside them; what a command costs is measured by itself.
+    with ProcessPoolExecutor(2) as rigs, ProcessPoolExecutor(3) as pool:
         alone = begin_decisions(pool, args.quick)
-        show(**faults(7 if args.quick else 60, args.seed))
-        order, kill = redivided(4 if args.quick else 20)
+        sizes = {members: pool.submit(calls_alone, members) for members in (200, 1000)}
+        broken = rigs.submit(faults, 7 if args.quick else 60, args.seed)
+        again = rigs.submit(redivided, 4 if args.quick else 20)
+        spent = [rigs.submit(used, seconds, *told) for told in (
+            (["n0"], budgets), (["n0"], []), (six, budgets))]
+        gains = [rigs.submit(gain, seconds, told) for told in ([threads(), cold], [])]
+        dead = [rigs.submit(service, seconds, told) for told in (spare, [])]
+        real = rigs.submit(calls_real, 2.0 if args.quick else 20.0)
+        show(**broken.result())
+        order, kill = again.result()
         show(redivided_order_p95_s=order, redivided_kill_p95_leases=kill)
+        one, today, even = (job.result() for job in spent)
+        show(used_of_whole=one, used_today=today, used_even=even)
+        (good, fallen), (evenly, _) = (job.result() for job in gains)
+        show(answered_gain=round(good / max(evenly, 1e-9), 3), cold_fallen=fallen,
+             answered_in_target=[round(good, 3), round(evenly, 3)])
+        ratios = [job.result() for job in dead]
+        show(service_ratio=round(ratios[0] / ratios[1], 4),
+             service_dead=[round(ratio, 4) for ratio in ratios])
+        calls, size = real.result()
+        found = {members: job.result() for members, job in sizes.items()}
+        rates, written = zip(*(row[:2] for row in found.values()), strict=True)
+        show(calls_per_member_s=calls, bytes_per_member_s=size,
+             calls_alone={members: row[0] for members, row in found.items()},
+             bytes_alone={members: row[1] for members, row in found.items()},
+             divide_ms={members: row[2] for members, row in found.items()},
+             calls_flat=round(max(max(rates) / min(rates), max(written) / min(written)), 3))
         show(**decided(*alone))
-    show(used_of_whole=used(seconds, ["n0"], [threads()]), used_today=used(seconds, ["n0"], []),
-         used_even=used(seconds, [f"n{i}" for i in range(6)], [threads()]))
-    (good, fallen), (even, _) = (gain(seconds, budgets) for budgets in (
-        [threads(), {"of": '"cold"', "window": "1s"}], []))
-    show(answered_gain=round(good / max(even, 1e-9), 3), cold_fallen=fallen,
-         answered_in_target=[round(good, 3), round(even, 3)])
-    ratios = [service(seconds, budgets) for budgets in ([threads(alone=10, members=6)], [])]
-    show(service_ratio=round(ratios[0] / ratios[1], 4), service_dead=[round(ratio, 4) for ratio in ratios])
     over, us = cost(seconds)
     show(cpu_over=over, cpu_off_us=us)
-    calls, size = calls_real(2.0 if args.quick else 20.0)
-    alone = {members: calls_alone(members) for members in (200, 1000)}
-    rates, sizes = zip(*(row[:2] for row in alone.values()), strict=True)
-    show(calls_per_member_s=calls, bytes_per_member_s=size,
-         calls_alone={members: row[0] for members, row in alone.items()},
-         bytes_alone={members: row[1] for members, row in alone.items()},
-         divide_ms={members: row[2] for members, row in alone.items()},
-         calls_flat=round(max(max(rates) / min(rates), max(sizes) / min(sizes)), 3))
     show(seconds=round(time.monotonic() - began, 1))
     sys.stdout.flush()
     close(figures, BOUNDS)
--- a/gullhold/fleet/schedule.py
+++ b/gullhold/fleet/schedule.py
@@ -119,6 +119,7 @@
         self.upto, self.records, self.revisions = 0, {}, {}
         self.flight, self.result, self.unsent = None, None, None       # records: out; over; written, not sent
         self.again_at, self.pause_until = {}, 0
+        self.off = False   # a policy says that it does not run
 
     def take(self):
         """What is to be done now, in order."""
@@ -194,6 +195,10 @@
         due = self.calendar.after(self.upto)
         if due > now:
             return
+        if self.off:
+            count, last = self.calendar.between(self.upto, now)
+            self._skip(last, count, "off by the fleet's policy", now)
+            return
         count, last = self.calendar.between(self.upto, now - self.rule.window_us - 1)
         if count:
             self._skip(last, count, "missed: nobody owned it, or the fleet was away", now)
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -243,9 +243,11 @@
     ACTIONS = {api.SEND: _act_send, api.TERMS: _act_terms, api.CANCEL: _act_cancel, api.SHED: _act_shed,
                api.FAIL: _act_fail, api.TIMER: _act_timer, api.LOG: _act_log, api.LACKS: _act_lacks}
 
-    def adopt(self, terms, gate):
-        """A policy of the fleet holds from here on; gate: asked at each send."""
+    def adopt(self, terms, gate, shares, clients):
+        """A policy of the fleet holds from here on; gate: asked at each send; shares, clients: the door's."""
         self.gate = gate
+        if self.door:
+            self.door.reweigh(shares, clients)
         self._ask(None, self.gateway.adopt, terms, gate)
 
     def allot(self, parts, lacking):
--- a/gullhold/revisions/driver.py
+++ b/gullhold/revisions/driver.py
@@ -12,6 +12,7 @@
 from gullhold.revisions import record as records
 from gullhold.revisions.record import FIRST, Unfit
 
+PLAN = "schedule/"               # before the name of a scheduled command, among duties
 LANES = ("policy", "carrying")   # of calls: neither waits for the other
 MILLION = 1_000_000
 
@@ -26,6 +27,9 @@
         # Of the operator's files: {name or word: (whole, kept back)}.
         self.budgets = {f"{item.of}/{item.tenant}" if item.tenant else item.of: (
             item.whole, item.alone * item.members) for item in record.budgets}
+        self.schedules = [item.name for item in record.schedule]
+        door = self.core.door
+        self.clients = {name.decode(): weight for name, weight in door.client_weights.items()} if door else {}
         self.gate = member.Gate(fleet.owner.lease, clock, surely_us, self.record.cut)
         self.member = member.Member(fleet.name, self.gate, self.fits, self._figures)
         self.carrier = change.Carrier(self.fits)
@@ -52,7 +56,7 @@
         """What is wrong with a record here, one line; "": nothing."""
         try:
             policy = records.read(record.text, f"policy {record.number}")
-            return records.check(policy, self.deal, self.budgets)
+            return records.check(policy, self.deal, self.budgets, self.schedules, bool(self.core.door))
         except Unfit as fault:
             return str(fault)
 
@@ -113,7 +117,11 @@
     def _adopt(self, serial, record):
         policy = records.read(record.text, f"policy {record.number}")
         terms = records.for_module(policy, self.deal)
-        self.core.first(self._on_core, serial, terms, records.wholes(policy, self.budgets), record.number)
+        door = records.shares_of(policy, self.deal), self.clients | policy.clients
+        wholes = records.wholes(policy, self.budgets)
+        self.core.first(self._on_core, serial, terms, wholes, door, record.number)
+        for name in self.schedules:
+            self.fleet.plans[PLAN + name].off = not policy.schedules.get(name, True)
         if serial and self.record.snapshot and not self.member.trial:
             try:
                 snapshot.write(self.record.snapshot, record, time.time_ns() // 1000)
@@ -122,11 +130,11 @@
 
     # On the core's thread
 
-    def _on_core(self, serial, terms, wholes, number):
+    def _on_core(self, serial, terms, wholes, door, number):
         if self.fleet.budgets:
             named = [(*name.partition("/"), whole) for name, whole in wholes.items()]
             self.fleet.budgets.purses.resize({(OF[word], tenant): whole for word, _, tenant, whole in named})
-        self.core.adopt(terms, self.gate)
+        self.core.adopt(terms, self.gate, *door)
         self.core.counters.add(f"policy {number}")
         self.fleet.queue.put(("adopted", serial))
 
--- a/gullhold/revisions/policy.cue
+++ b/gullhold/revisions/policy.cue
@@ -10,4 +10,7 @@
 	sends:      {[string]: int & >=1 & <=100}
 	// Wholes of the fleet's budgets, by the operator's word (threads) or for one (taken/desk).
 	budgets: {[string]: int & >=1 & <=1000000000000}
+	// Weights of clients at the door, against 1; whether a scheduled command runs.
+	clients:   {[string]: number & >0 & <=1000}
+	schedules: {[string]: bool}
 }
--- a/gullhold/revisions/record.py
+++ b/gullhold/revisions/record.py
@@ -65,6 +65,8 @@
     grants: dict
     sends: dict
     budgets: dict
+    clients: dict
+    schedules: dict
 
 
 def read(source, file="policy"):
@@ -81,10 +83,11 @@
     return Policy(**told["policy"])
 
 
-def check(policy, deal, budgets):
+def check(policy, deal, budgets, schedules=(), door=False):
     """What is wrong with a policy for this agreement and these budgets, one line; "": nothing.
 
-    budgets: {name or word: (whole as the operator's file has it, kept back)}.
+    budgets: {name or word: (whole as the operator's file has it, kept back)}; schedules: names of scheduled
+    commands; door: whether there is one.
     """
     tenants, profiles = {item.name for item in deal.tenants}, {item.name: item for item in deal.profiles}
     for name in policy.shares:
@@ -99,6 +102,11 @@
             return f"sends: {name!r} must never run twice"
         if 0 < deal.sends_cap < most:
             return f"sends: {name!r}: the agreement allows {deal.sends_cap}"
+    for name in policy.schedules:
+        if name not in schedules:
+            return f"schedules: {name!r} is no scheduled command"
+    if policy.clients and not door:
+        return "clients: there is no door"
     if policy.priorities and not deal.heeds_priority:
         return "priorities: engines of this agreement heed none"
     if policy.grants and not deal.heeds_grants:
@@ -116,10 +124,15 @@
     return {name: policy.budgets.get(name, whole) for name, (whole, _) in budgets.items()}
 
 
+def shares_of(policy, deal):
+    """Shares of the agreement's tenants, by index."""
+    return [policy.shares.get(item.name, item.share) for item in deal.tenants]
+
+
 def for_module(policy, deal):
     """(weights by tenant, {profile: priority}, {profile: MB}, {profile: sends}) for the decision module."""
     profiles = [item.name for item in deal.profiles]
-    shares = [policy.shares.get(item.name, item.share) for item in deal.tenants]
+    shares = shares_of(policy, deal)
     least = min((share for share in shares if share > 0), default=1.0)
     by_index = [{profiles.index(name): value for name, value in told.items()}
                 for told in (policy.priorities, policy.grants, policy.sends)]
--- a/gullhold/standins/child.py
+++ b/gullhold/standins/child.py
@@ -3,7 +3,8 @@
 GULLHOLD_RIG holds JSON: rate: how fast this process's clocks run; point, side, act, nth: what to do to itself
 ("kill" or "stop") "before" or "after" the nth call of the register that is this: "effect" (a beat), "intent"
 or "outcome" of an occurrence, "claim", "keep", "divide" (parts of budgets), "report" (of what is used),
-"give back" (the last report), "checked", "prepared", "decided", "dropped" (a change of policy).
+"give back" (the last report), "checked", "prepared", "decided", "dropped" (a change of policy), "ready",
+"still", "under" (a word about one).
 """
 
 import json
@@ -36,6 +37,8 @@
     if any(act.key == "budget/fence" for act in puts):
         return "divide"
     for act in puts:
+        if act.key.startswith("policy/words/"):
+            return json.loads(act.value)["word"]
         if act.key == "policy/now/change":
             return json.loads(act.value)["state"]
         if act.key.startswith("budget/asks/"):
--- a/tests/test_fleet_change.py
+++ b/tests/test_fleet_change.py
@@ -115,6 +115,29 @@
         judged(fleet, [20], strict=True)
 
 
+@pytest.mark.parametrize("word, side", [("ready", "after"), ("still", "after"), ("still", "before")])
+def test_one_killed_after_its_word_is_started_after_the_decision_and_another_in_the_middle(word, side):
+    with rig() as fleet:
+        spread = Spread(["policy"])
+        spread.change(fleet.names)
+        first, victim = sorted(fleet.names, key=lambda name: name != spread.owner["policy"])[:2]
+        other = next(name for name in fleet.names if name not in (first, victim))
+        fleet.start(first)
+        fleet.start(victim, point=word, side=side, act="kill", nth=1)
+        on(fleet, 0, (first, victim))
+        office, clients = Office(fleet.register_address, "rig"), load(fleet, first)
+        record = office.propose(granting(20), "a", "b", overlap="strict")
+        fleet.members[victim].process.wait(8)
+        fleet.start(other)   # it enrols in the middle, before or after the decision
+        assert office.wait(record.number, 8)[0] == IN_FORCE
+        fleet.start(victim)
+        on(fleet, 1)
+        clients += load(fleet, victim, other)
+        time.sleep(0.3)
+        end(clients)
+        judged(fleet, [20], strict=True)
+
+
 def test_replies_are_lost_and_the_register_is_killed_while_changes_are_made():
     with rig() as fleet:
         fleet.start()
@@ -301,6 +324,33 @@
         assert check.outcomes == {1: "dropped", 2: "decided"} and not check.without_all
 
 
+def test_schedules_and_weights_at_the_door_are_changed_with_the_rest():
+    words = {"name": '"warm"', "every": "150ms", "profile": '"read"', "window": "5s", "work": "10ms",
+             "statement": '"select 1 from warm_1.t /* work=10 */"'}
+    door = 'door: {on: true, client: field: "client", weights: {n0: 1}}'
+    with rig(2, scheduled=[words], fleet=door) as fleet:
+        fleet.start()
+        on(fleet)
+        office = Office(fleet.register_address, "rig")
+
+        def warmed():
+            return sum("warm" in row[3] for row in fleet.engines[0].kept)
+
+        fleet.until(lambda: warmed() >= 3)
+        record = office.propose("policy: {schedules: warm: false, clients: n0: 4}", "a", "b")
+        assert office.wait(record.number, 5)[0] == IN_FORCE
+        time.sleep(0.3)
+        before = warmed()
+        time.sleep(0.7)
+        assert warmed() == before
+        skipped = [facts for _, _, what, facts in fleet.events() if what == "occurrence skipped"]
+        assert skipped and "off by the fleet's policy" in skipped[-1]["why"]
+        record = office.propose("policy: clients: n0: 4", "a", "b")
+        assert office.wait(record.number, 5)[0] == IN_FORCE
+        fleet.until(lambda: warmed() > before + 1)
+        judged(fleet, [])
+
+
 def test_a_snapshot_is_whole_or_not_there_and_is_gone_by_without_a_register_for_a_while(tmp_path):
     path = tmp_path / "last"
     record = Record(3, 2, "a", "b", 0, granting(20)).sealed()
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -36,7 +36,8 @@
 @pytest.mark.parametrize("text, why", [
     ("shares: c: 1", "no tenant"), ("grants: none: 1", "no profile"), ("sends: once: 2", "never run twice"),
     ("sends: read: 4", "allows 3"), ("budgets: threads: 9", "is no budget"),
-    ("budgets: taken: 3", "are kept back"),
+    ("budgets: taken: 3", "are kept back"), ("schedules: warm: false", "no scheduled command"),
+    ("clients: x: 2", "there is no door"),
     ("{shares: a: 2, sends: {read: 3, once: 1}, budgets: taken: 9}", "")])
 def test_a_policy_is_checked_against_the_agreement_and_the_budgets(text, why):
     policy = record.read(f"policy: {text}")
@@ -48,7 +49,7 @@
     policy = record.read("policy: {shares: b: 0.35, grants: read: 20, priorities: once: 2}")
     weights, priorities, grants, sends = record.for_module(policy, DEAL)
     assert weights == [2.0, 1.0] and priorities == {1: 2} and grants == {0: 20} and sends == {}
-    assert record.difference(Policy({}, {}, {}, {}, {}), policy) == [
+    assert record.difference(Policy(*[{}] * len(Policy._fields)), policy) == [
         ("shares", "b", None, 0.35), ("priorities", "once", None, 2), ("grants", "read", None, 20)]
     assert record.wholes(record.read("policy: budgets: threads: 4"), {"threads": (9, 0), "cold": (5, 0)}) == {
         "threads": 4, "cold": 5}
