--- a/gullhold/budgets/duty.py
+++ b/gullhold/budgets/duty.py
@@ -19,6 +19,7 @@
 ROWS_MOST = (TXN_MOST - 2) // 2        # rows in one write: each may come with a report to take away
 SERIALS = 1 << 20                      # writes under one token: numbers grow over tokens too
 LEAST_US = 20_000                      # us between writes: several reports are answered by one
+IDLE_US = 2_000_000                    # us between steps while nothing is told: all that comes makes a step
 AGAIN_US = 200_000                     # us until the next try after a reply that proves nothing
 
 
@@ -113,11 +114,11 @@
     def due(self, now):
         """When to step at the latest."""
         if not self.token or self.reading or self.writing:
-            return now + AGAIN_US
+            return now + IDLE_US
         if not self.loaded:
             return max(now, self.again_at)
         at = 0 if self.dirty or self.gone or self.divider.over else self.divider.due()
-        return now + AGAIN_US if at is None else max(now, at, self.last_at + LEAST_US, self.again_at)
+        return now + IDLE_US if at is None else max(now, at, self.last_at + LEAST_US, self.again_at)
 
     def step(self, now):
         """Do what is next, if nothing is under way."""
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -224,13 +224,13 @@
     def _claims(self, cmd, be):
         """What a send takes of our parts of the fleet's budgets: (part, how much) each."""
         ident, found = self.ids[be], []
-        if part := self._part(api.THREADS, ident):
+        if part := self.parts(api.THREADS, ident):
             found.append((part, cmd.threads))
-        if part := self._part(api.MEMORY, ident):
+        if part := self.parts(api.MEMORY, ident):
             found.append((part, ceil(self._grant(cmd, be))))
-        if self._cold(be) and (part := self._part(api.COLD, ident)):
+        if self._cold(be) and (part := self.parts(api.COLD, ident)):
             found.append((part, self._cold_part(cmd.work, be)))
-        if cmd.sends and (part := self._part(api.FURTHER, 0)):
+        if cmd.sends and (part := self.parts(api.FURTHER, 0)):
             found.append((part, 1))
         return found
 
--- a/gullhold/revisions/change.py
+++ b/gullhold/revisions/change.py
@@ -153,7 +153,7 @@
     def due(self, now):
         """When to step at the latest."""
         if not self.token or self.reading or self.writing:
-            return now + AGAIN_US
+            return now + AGAIN_US * 10
         if not self.loaded:
             return max(now, self.again_at)
         if self.change is None:
