--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -13,6 +13,8 @@
 from io import BytesIO
 from pathlib import Path
 
+from gullhold.standins.walking import Broken
+
 ROOT = Path(__file__).resolve().parents[1]
 
 
@@ -39,3 +41,56 @@
             missed.append(name)
     print(json.dumps(figures | {"missed": missed}))
     sys.exit(1 if missed else 0)
+
+
+def p95(values, part=0.95):
+    """The 95th percentile, or another, or None."""
+    return round(sorted(values)[int(part * (len(values) - 1))], 3) if values else None
+
+
+def walks(job):
+    """Marks of states that some walks of an explorer met, or what broke."""
+    walk, first, last, steps = job
+    met = set()
+    for seed in range(first, last):
+        try:
+            met |= walk(seed, steps, marks=True)
+        except Broken as fault:
+            return met, str(fault)[:400]
+    return met, ""
+
+
+def hunt(job):
+    """Whether a mutant is found, and by which walk."""
+    find, name, most, steps = job
+    return name, find(name, most, steps)
+
+
+def begin_decisions(pool, check, mutants, steps, sizes, worlds, slow=()):
+    """Begin to play decisions alone; what decided() needs.
+
+    check, mutants: an explorer and its mutants; sizes: walks a job, jobs, walks a mutant, states of a search;
+    worlds: what the search is told; slow: mutants that take longest, so that no core waits for them.
+    """
+    per, jobs, most, states = sizes
+    names = sorted(mutants.MUTANTS, key=lambda name: name not in slow)
+    hunted = pool.map(hunt, [(mutants.find, name, most, steps) for name in names])
+    played = pool.map(walks, [(check.walk, i * per, (i + 1) * per, steps) for i in range(jobs)])
+    return per * jobs, hunted, played, [pool.submit(check.explore, world, 8, states) for world in worlds]
+
+
+def decided(count, hunted, played, systematic):
+    """The decisions alone: states met, broken walks, mutants found."""
+    found, met, broken = dict(hunted), set(), []
+    for marks, fault in played:
+        met |= marks
+        broken += [fault] if fault else []
+    states = [one.result() for one in systematic]
+    for name, what in found.items():
+        print(f"mutant {name}: {what[1][:90] + f' (walk {what[0]})' if what else 'NOT FOUND'}")
+    for fault in broken:
+        print("broken:", fault)
+    return {"explored_states": len(met) + sum(number for number, _ in states), "walks": count,
+            "systematic_depth_whole": min(depth for _, depth in states), "walks_broken": len(broken),
+            "mutants": len(found), "mutants_found": sum(what is not None for what in found.values()),
+            "mutants_missed": sum(what is None for what in found.values())}
--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -9,7 +9,7 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 
-from benchmarks import close
+from benchmarks import begin_decisions, close, decided, p95
 from gullhold.budgets.divider import Budget
 from gullhold.budgets.duty import ASKS, PARTS, READ, WRITE, Dividing, report_text
 from gullhold.budgets.ledger import HELD, WINDOWED
@@ -32,11 +32,6 @@
 SLOW = ("NoFence", "OverAtOnce", "DeafWhileReading", "MaybeIsDone", "reports not compared", "drift left out")
 
 
-def p95(values):
-    """The 95th percentile, or None."""
-    return round(sorted(values)[int(0.95 * (len(values) - 1))], 3) if values else None
-
-
 def threads(whole=WHOLE, **other):
     """An operator's words for a budget of threads on each engine."""
     return {"of": '"threads"', "whole": whole, "linger": "600ms"} | other
@@ -298,52 +293,6 @@
             round(longest * 1000, 1))
 
 
-def walks(job):
-    """Marks of states that some walks met, or what broke."""
-    first, last = job
-    met = set()
-    for seed in range(first, last):
-        try:
-            met |= dividecheck.walk(seed, STEPS, marks=True)
-        except dividecheck.Broken as fault:
-            return met, str(fault)[:400]
-    return met, ""
-
-
-def hunt(job):
-    """Whether a mutant is found, and by which walk."""
-    name, most = job
-    return name, dividemutants.find(name, most, STEPS)
-
-
-def begin_decisions(pool, quick):
-    """Begin to play the decisions alone; what decided() needs."""
-    per, jobs, most = (30, 8, 1200) if quick else (400, 16, 6000)
-    names = sorted(dividemutants.MUTANTS, key=lambda name: name not in SLOW)   # so that no core waits
-    hunted = pool.map(hunt, [(name, most) for name in names])
-    played = pool.map(walks, [(i * per, (i + 1) * per) for i in range(jobs)])
-    systematic = [pool.submit(dividecheck.explore, kind, 6, 1500 if quick else 40_000)
-                  for kind in (HELD, WINDOWED)]
-    return per * jobs, hunted, played, systematic
-
-
-def decided(count, hunted, played, systematic):
-    """The decisions alone: states met, broken walks, mutants found."""
-    found, met, broken = dict(hunted), set(), []
-    for marks, fault in played:
-        met |= marks
-        broken += [fault] if fault else []
-    states = [one.result() for one in systematic]
-    for name, what in found.items():
-        print(f"mutant {name}: {what[1][:90] + f' (walk {what[0]})' if what else 'NOT FOUND'}")
-    for fault in broken:
-        print("broken:", fault)
-    return {"explored_states": len(met) + sum(count for count, _ in states), "walks": count,
-            "systematic_depth_whole": min(depth for _, depth in states), "walks_broken": len(broken),
-            "mutants": len(found), "mutants_found": sum(what is not None for what in found.values()),
-            "mutants_missed": sum(what is None for what in found.values())}
-
-
 def main():
     """All of it; the last line is JSON."""
     parser = argparse.ArgumentParser(prog="benchmarks.budgets", description=__doc__.splitlines()[0])
@@ -361,7 +310,8 @@
     six, spare = [f"n{i}" for i in range(6)], [threads(alone=10, members=6)]
     # Rigs two at a time, decisions beside them; what a command costs is measured by itself.
     with ProcessPoolExecutor(2) as rigs, ProcessPoolExecutor(5) as pool:
-        alone = begin_decisions(pool, args.quick)
+        alone = begin_decisions(pool, dividecheck, dividemutants, STEPS, (
+            30, 8, 1200, 1500) if args.quick else (400, 16, 6000, 40_000), (HELD, WINDOWED), SLOW)
         sizes = {members: pool.submit(calls_alone, members) for members in (200, 1000)}
         broken = rigs.submit(faults, 7 if args.quick else 60, args.seed)
         again = rigs.submit(redivided, 4 if args.quick else 20)
--- a/benchmarks/change.py
+++ b/benchmarks/change.py
@@ -9,7 +9,7 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 
-from benchmarks import close
+from benchmarks import begin_decisions, close, decided, p95
 from gullhold.fleet.calls import DONE, Item, Put, Reply
 from gullhold.revisions import change
 from gullhold.revisions.record import Record, Unfit
@@ -30,11 +30,6 @@
 A_RUN = 44   # changes on one fleet: each grants another number of MB, all of them less than is asked for
 
 
-def p95(values, part=0.95):
-    """The 95th percentile, or another, or None."""
-    return round(sorted(values)[int(part * (len(values) - 1))], 3) if values else None
-
-
 def fleet(members, **other):
     """A rig of so many gateways, whose engines count."""
     return Rig(members=members, engines=1, policy="on: true",
@@ -253,51 +248,6 @@
     return calls, round(time.perf_counter() - began, 2)
 
 
-def walks(job):
-    """Marks of states that some walks met, or what broke."""
-    met = set()
-    for seed in range(*job):
-        try:
-            met |= changecheck.walk(seed, STEPS, marks=True)
-        except changecheck.Broken as fault:
-            return met, str(fault)[:400]
-    return met, ""
-
-
-def hunt(job):
-    """Whether a mutant is found, and by which walk."""
-    name, most = job
-    return name, changemutants.find(name, most, STEPS)
-
-
-def begin_decisions(pool, quick):
-    """Begin to play the decisions alone; what decided() needs."""
-    per, jobs, most = (60, 8, 1000) if quick else (1500, 16, 6000)
-    hunted = pool.map(hunt, [(name, most) for name in sorted(
-        changemutants.MUTANTS, key=lambda name: name != "RollForgotten")])
-    played = pool.map(walks, [(i * per, (i + 1) * per) for i in range(jobs)])
-    systematic = [pool.submit(changecheck.explore, overlap, 8, 3000 if quick else 60_000)
-                  for overlap in (change.STRICT, change.LOOSE)]
-    return per * jobs, hunted, played, systematic
-
-
-def decided(count, hunted, played, systematic):
-    """The decisions alone: states met, broken walks, mutants found."""
-    found, met, broken = dict(hunted), set(), []
-    for marks, fault in played:
-        met |= marks
-        broken += [fault] if fault else []
-    states = [one.result() for one in systematic]
-    for name, what in found.items():
-        print(f"mutant {name}: {what[1][:90] + f' (walk {what[0]})' if what else 'NOT FOUND'}")
-    for fault in broken:
-        print("broken:", fault)
-    return {"explored_states": len(met) + sum(number for number, _ in states), "walks": count,
-            "systematic_depth_whole": min(depth for _, depth in states), "walks_broken": len(broken),
-            "mutants": len(found), "mutants_found": sum(what is not None for what in found.values()),
-            "mutants_missed": sum(what is None for what in found.values())}
-
-
 def main():
     """All of it; the last line is JSON."""
     parser = argparse.ArgumentParser(prog="benchmarks.change", description=__doc__.splitlines()[0])
@@ -311,7 +261,8 @@
         print(f"{time.monotonic() - began:6.1f} s", facts, flush=True)
 
     with ProcessPoolExecutor(3) as pool:   # beside what no other work can spoil
-        alone = begin_decisions(pool, args.quick)
+        alone = begin_decisions(pool, changecheck, changemutants, STEPS, (
+            60, 8, 1000, 3000) if args.quick else (1500, 16, 6000, 60_000), (change.STRICT, change.LOOSE))
         show(**several(1 if args.quick else 7, args.seed))
         show(**decided(*alone))
     six, twelve = quiet(6, 8 if args.quick else 40), quiet(12, 8 if args.quick else 40)
--- a/benchmarks/owner.py
+++ b/benchmarks/owner.py
@@ -13,7 +13,7 @@
 import time
 from concurrent.futures import ProcessPoolExecutor
 
-from benchmarks import close
+from benchmarks import close, p95
 from gullhold.fleet import owner
 from gullhold.fleet.calls import DONE, Grant, Held, Item, Keep, Read, Reply
 from gullhold.fleet.lease import Terms
@@ -43,11 +43,6 @@
             "statement": f'"select 1 from {name}_1.t /* work=30 */"', "work": "30ms"}
 
 
-def p95(values):
-    """The 95th percentile, or None."""
-    return round(sorted(values)[int(0.95 * (len(values) - 1))], 3) if values else None
-
-
 def faults(rounds, seed):
     """Six gateways, duties and scheduled commands under drawn faults; figures of what was kept."""
     draw = random.Random(seed)
--- a/gullhold/standins/changecheck.py
+++ b/gullhold/standins/changecheck.py
@@ -4,22 +4,22 @@
 is not believed. Walks by chance end with the faults taken away: then all have to go by what is in force.
 """
 
-import copy
 import random
 from bisect import bisect_left
 
-from gullhold.fleet.calls import MAYBE, NOT_DONE, Grant, Keep, Read, Reply, Txn
+from gullhold.fleet.calls import Grant, Keep, Read, Txn
 from gullhold.fleet.lease import Lease, Terms
 from gullhold.revisions import change, member
 from gullhold.revisions.record import Record
-from gullhold.standins.ownercheck import Broken, Model
+from gullhold.standins import walking
+from gullhold.standins.ownercheck import Model
+from gullhold.standins.walking import OF_CALLS, Broken, Calls
 
 QUANTUM_US = 250_000
 TERMS = Terms(1, 0.15, 0)
 RATES = (0.87, 1.1, 1.0)
 NAMES = ("a", "b", "c")
 DUTY = "duties/" + change.DUTY
-OF_CALLS = ("lose the reply", "hold back", "refuse")
 FAULTS = (*OF_CALLS, "die", "cut", "elect", "miss", "deaf")
 BAD, SOUR, SETTLED = "bad", "sour", 40   # refused by one member; of which commands fail; moments to settle
 PATIENCE_US = 4 * QUANTUM_US
@@ -56,7 +56,7 @@
         return self.told, self.failed, self.told
 
 
-class World:
+class World(Calls):
     """Members, carriers, register, and what is under way. act() takes one of actions(); raises Broken.
 
     make: what to make of "member", "gate", "carrier": the product's, or a mutant's; cut: members' rule.
@@ -112,11 +112,7 @@
     def actions(self):
         """All that may be next."""
         found = [("time",)]
-        for i in range(len(self.calls)):
-            found += [("carry out", i)]
-            found += [(fault, i) for fault in OF_CALLS] if self.faults else []
-        found += [("reply", i) for i in range(len(self.replies))]
-        found += [("late", i) for i in range(len(self.ghosts))]
+        found += self.of_calls()
         found += [("tell", k) for k in range(2) if self._news(self.seen[k], change.ROOT)]
         found += [("elect", 0), ("miss", self.owner)] if self.faults else []
         found += [("lost", 1 - self.owner)] if self.carriers[1 - self.owner].token else []
@@ -203,27 +199,6 @@
             self.carriers[k].step(self.clock(k))
             self._collect(k)
 
-    def _do_carry_out(self, i):
-        who, request, tag = self.calls.pop(i)
-        self.replies.append((who, tag, self.model.call(request, self.now)))
-
-    def _do_lose_the_reply(self, i):
-        who, request, tag = self.calls.pop(i)
-        self.model.call(request, self.now)
-        self.replies.append((who, tag, Reply(MAYBE)))
-
-    def _do_hold_back(self, i):
-        who, request, tag = self.calls.pop(i)
-        self.ghosts.append(request)
-        self.replies.append((who, tag, Reply(MAYBE)))
-
-    def _do_refuse(self, i):
-        who, _, tag = self.calls.pop(i)
-        self.replies.append((who, tag, Reply(NOT_DONE)))
-
-    def _do_late(self, i):
-        self.model.call(self.ghosts.pop(i), self.now)
-
     def _do_reply(self, i):
         who, (what, *told), reply = self.replies.pop(i)
         if what == "replied":
@@ -371,14 +346,6 @@
                 raise Broken(f"{one.name} is {one.member.state} under {one.number}, {self.decided} in force")
 
 
-def wild(world, draw):
-    """Actions by chance, for ever."""
-    while True:
-        actions = world.actions()
-        few = [action for action in actions if action[0] not in FAULTS or draw() < 0.15]
-        yield actions[0] if draw() < 0.12 else few[int(draw() * len(few))]
-
-
 def rounds(world, draw):
     """Moment after moment, for ever: changes are proposed, most of what is under way is carried out, and now
     and then something breaks. What was held back comes some moments later."""
@@ -407,46 +374,16 @@
 def walk(seed, steps, faults=10, marks=False, **make):
     """One walk, then calm; raises Broken with its story. Marks of the states that it met, where asked for."""
     draw = random.Random(seed).random
-    world, story, met = World((change.STRICT, change.LOOSE)[seed % 2], faults, **{
-        "cut": (member.KEEP, member.STAND)[seed // 2 % 2]} | make), [], set()
-    actions = (rounds if seed // 4 % 4 else wild)(world, draw)
-    try:
-        for _ in range(steps):
-            action = next(actions)
-            story.append(action)
-            world.act(*action)
-            if marks:
-                met.add(hash(world.mark()))
-        world.calm()
-        world.settled()
-    except Broken as fault:
-        raise Broken(f"seed {seed}: {fault}; after {story}") from None
-    return met
+    world = World((change.STRICT, change.LOOSE)[seed % 2], faults, **{
+        "cut": (member.KEEP, member.STAND)[seed // 2 % 2]} | make)
+    actions = rounds(world, draw) if seed // 4 % 4 else walking.wild(world, draw, FAULTS)
+    return walking.follow(world, actions, steps, seed, marks)
 
 
 def explore(overlap, depth, most, faults=1, seed=0, **make):
     """(states met, the depth that was gone through whole) from a fleet with one change just proposed."""
-    draw, world = random.Random(seed), World(overlap, 0, **make)
+    world = World(overlap, 0, **make)
     world.calm()
     world.act("propose", "good")
     world.faults = faults
-    layer, met, whole = [(world, ())], set(), 0
-    for level in range(depth):
-        following = []
-        for one, story in layer:
-            actions = one.actions()
-            draw.shuffle(actions)
-            for action in actions:
-                other = copy.deepcopy(one)
-                try:
-                    other.act(*action)
-                except Broken as fault:
-                    raise Broken(f"{fault}; after {[*story, action]}") from None
-                mark = hash(other.mark())
-                if mark not in met:
-                    met.add(mark)
-                    following.append((other, (*story, action)))
-                if len(met) >= most:
-                    return len(met), whole
-        layer, whole = following, level + 1
-    return len(met), whole
+    return walking.explore(world, depth, most, seed)
--- a/gullhold/standins/changemutants.py
+++ b/gullhold/standins/changemutants.py
@@ -4,7 +4,7 @@
 from gullhold.revisions import change
 from gullhold.revisions.change import CHANGE, CHECKED, DECIDED, PREPARED, READY, ROLL, STILL, Carrier
 from gullhold.revisions.member import ENROLLING, LEARNING, ON, Gate, Member
-from gullhold.standins import changecheck
+from gullhold.standins import changecheck, walking
 
 
 class LeaseNotLooked(Gate):
@@ -157,11 +157,4 @@
 
 def find(name, walks, steps, first=0):
     """(seed, what broke) of the first walk that finds it, or None."""
-    for seed in range(first, first + walks):
-        try:
-            changecheck.walk(seed, steps, **MUTANTS[name])
-        except changecheck.Broken as fault:
-            return seed, str(fault).partition("; after")[0]
-        except Exception as fault:   # it fell over its own state: found too
-            return seed, repr(fault)
-    return None
+    return walking.find(lambda seed: changecheck.walk(seed, steps, **MUTANTS[name]), walks, first)
--- a/gullhold/standins/dividecheck.py
+++ b/gullhold/standins/dividecheck.py
@@ -5,7 +5,6 @@
 never pass the whole. Walks by chance end with the faults taken away: then nothing of the whole may be lost.
 """
 
-import copy
 import random
 from bisect import bisect_left, bisect_right
 
@@ -13,9 +12,11 @@
 from gullhold.budgets.divider import Budget, Divider
 from gullhold.budgets.ledger import HELD, WINDOWED
 from gullhold.budgets.purse import Purses, Rule
-from gullhold.fleet.calls import DONE, MAYBE, NOT_DONE, Grant, Keep, Put, Read, Reply, Txn
+from gullhold.fleet.calls import DONE, Grant, Keep, Put, Read, Txn
 from gullhold.fleet.lease import Lease, Terms
-from gullhold.standins.ownercheck import Broken, Model
+from gullhold.standins import walking
+from gullhold.standins.ownercheck import Model
+from gullhold.standins.walking import OF_CALLS, Broken, Calls
 
 QUANTUM_US = 250_000        # between moments: a lease is four of them
 TERMS = Terms(1, 0.15, 0)
@@ -24,7 +25,6 @@
 WHOLE, ALONE, NAMES = 10, 1, ("a", "b", "c")
 NAME = "b/0"                # the one budget
 DUTY = "duties/budgets"
-OF_CALLS = ("lose the reply", "hold back", "refuse")
 FAULTS = (*OF_CALLS, "die", "cut", "elect", "miss", "leave")
 SETTLED = 30                # moments in which a fleet without faults has to have divided all
 
@@ -55,7 +55,7 @@
         return f"{self.name}/{self.lease.id:x}"
 
 
-class World:
+class World(Calls):
     """Members, dividers, register, and what is under way. act() takes one of actions(); raises Broken.
 
     make: what to make of "purses", "dividing", "divider": the product's, or a mutant's.
@@ -123,11 +123,7 @@
     def actions(self):
         """All that may be next."""
         found = [("time",)]
-        for i in range(len(self.calls)):
-            found += [("carry out", i)]
-            found += [(fault, i) for fault in OF_CALLS] if self.faults else []
-        found += [("reply", i) for i in range(len(self.replies))]
-        found += [("late", i) for i in range(len(self.ghosts))]
+        found += self.of_calls()
         found += [("tell", k) for k in range(2) if self._news(k)]
         found += [("elect",), ("miss", self.owner)] if self.faults else []
         if self.dividers[1 - self.owner].token:
@@ -197,27 +193,6 @@
             self.dividers[k].step(self.clock(k))
             self._collect(k)
 
-    def _do_carry_out(self, i):
-        who, request, tag = self.calls.pop(i)
-        self.replies.append((who, tag, self.model.call(request, self.now)))
-
-    def _do_lose_the_reply(self, i):
-        who, request, tag = self.calls.pop(i)
-        self.model.call(request, self.now)
-        self.replies.append((who, tag, Reply(MAYBE)))
-
-    def _do_hold_back(self, i):
-        who, request, tag = self.calls.pop(i)
-        self.ghosts.append(request)
-        self.replies.append((who, tag, Reply(MAYBE)))
-
-    def _do_refuse(self, i):
-        who, _, tag = self.calls.pop(i)
-        self.replies.append((who, tag, Reply(NOT_DONE)))
-
-    def _do_late(self, i):
-        self.model.call(self.ghosts.pop(i), self.now)
-
     def _do_reply(self, i):
         who, (what, *told), reply = self.replies.pop(i)
         if what == "reported":
@@ -363,14 +338,6 @@
 
 
 
-def wild(world, draw):
-    """Actions by chance, for ever."""
-    while True:
-        actions = world.actions()
-        few = [action for action in actions if action[0] not in FAULTS or draw() < 0.15]
-        yield actions[0] if draw() < 0.12 else few[int(draw() * len(few))]
-
-
 def rounds(world, draw):
     """Moment after moment, for ever: some report, most of what is under way is carried out, most spend, and
     now and then something breaks. What was held back comes some moments later."""
@@ -407,44 +374,14 @@
 def walk(seed, steps, faults=10, marks=False, **make):
     """One walk, then calm; raises Broken with its story. Marks of the states that it met, where asked for."""
     draw = random.Random(seed).random
-    world, story, met = World((HELD, WINDOWED)[seed % 2], faults, **make), [], set()
-    actions = (rounds if seed // 2 % 4 else wild)(world, draw)
-    try:
-        for _ in range(steps):
-            action = next(actions)
-            story.append(action)
-            world.act(*action)
-            if marks:
-                met.add(hash(world.mark()))
-        world.calm()
-        world.settled()
-    except Broken as fault:
-        raise Broken(f"seed {seed}: {fault}; after {story}") from None
-    return met
+    world = World((HELD, WINDOWED)[seed % 2], faults, **make)
+    actions = rounds(world, draw) if seed // 2 % 4 else walking.wild(world, draw, FAULTS)
+    return walking.follow(world, actions, steps, seed, marks)
 
 
 def explore(kind, depth, most, faults=2, seed=0, **make):
     """(states met, the depth that was gone through whole) from a fleet that has divided."""
-    draw, world = random.Random(seed), World(kind, 0, **make)
+    world = World(kind, 0, **make)
     world.calm()
     world.faults = faults
-    layer, met, whole = [(world, ())], set(), 0
-    for level in range(depth):
-        following = []
-        for one, story in layer:
-            actions = one.actions()
-            draw.shuffle(actions)
-            for action in actions:
-                other = copy.deepcopy(one)
-                try:
-                    other.act(*action)
-                except Broken as fault:
-                    raise Broken(f"{fault}; after {[*story, action]}") from None
-                mark = hash(other.mark())
-                if mark not in met:
-                    met.add(mark)
-                    following.append((other, (*story, action)))
-                if len(met) >= most:
-                    return len(met), whole
-        layer, whole = following, level + 1
-    return len(met), whole
+    return walking.explore(world, depth, most, seed)
--- a/gullhold/standins/dividemutants.py
+++ b/gullhold/standins/dividemutants.py
@@ -8,7 +8,7 @@
 from gullhold.budgets.ledger import Ledger
 from gullhold.budgets.purse import Purse, Purses
 from gullhold.fleet.calls import DONE, MAYBE
-from gullhold.standins import dividecheck
+from gullhold.standins import dividecheck, walking
 
 
 class HandsOn(Ledger):
@@ -192,11 +192,4 @@
 
 def find(name, walks, steps, first=0):
     """(seed, what broke) of the first walk that finds it, or None."""
-    for seed in range(first, first + walks):
-        try:
-            dividecheck.walk(seed, steps, **MUTANTS[name])
-        except dividecheck.Broken as fault:
-            return seed, str(fault).partition("; after")[0]
-        except Exception as fault:   # it fell over its own state: found too
-            return seed, repr(fault)
-    return None
+    return walking.find(lambda seed: dividecheck.walk(seed, steps, **MUTANTS[name]), walks, first)
--- a/gullhold/standins/ownercheck.py
+++ b/gullhold/standins/ownercheck.py
@@ -6,7 +6,6 @@
 then every duty has to be owned again. The register here shares no code with the one of the stand-in.
 """
 
-import copy
 import random
 
 from gullhold.fleet import owner
@@ -26,6 +25,8 @@
     Revoke,
 )
 from gullhold.fleet.lease import Terms
+from gullhold.standins import walking
+from gullhold.standins.walking import Broken
 
 QUANTUM_US = 250_000     # between moments: a lease is four of them
 TERMS = Terms(1, 0.15, 0)
@@ -37,10 +38,6 @@
 SETTLED = 60             # moments in which a fleet without faults has to own everything
 
 
-class Broken(Exception):
-    """A promise that was not kept; the text says which."""
-
-
 class Model:
     """The register: keys with revisions, leases, the history of members' keys."""
 
@@ -324,27 +321,7 @@
 
     most: states after which it stops. Which actions come first at one depth is drawn from the seed.
     """
-    draw = random.Random(seed)
-    layer, met, whole = [(fleet(make, faults=faults), ())], set(), 0
-    for level in range(depth):
-        following = []
-        for world, story in layer:
-            actions = world.actions()
-            draw.shuffle(actions)
-            for action in actions:
-                other = copy.deepcopy(world)
-                try:
-                    other.act(*action)
-                except Broken as fault:
-                    raise Broken(f"{fault}; after {[*story, action]}") from None
-                mark = hash(other.mark())
-                if mark not in met:
-                    met.add(mark)
-                    following.append((other, (*story, action)))
-                if len(met) >= most:
-                    return len(met), whole
-        layer, whole = following, level + 1
-    return len(met), whole
+    return walking.explore(fleet(make, faults=faults), depth, most, seed)
 
 
 FAIR = ("carry out", "reply", "tell", "land")   # what happens at once where nothing is wrong
--- a/gullhold/standins/ownermutants.py
+++ b/gullhold/standins/ownermutants.py
@@ -6,7 +6,7 @@
 from gullhold.fleet import owner
 from gullhold.fleet.calls import DONE, MAYBE, Put, Txn
 from gullhold.fleet.owner import DUTIES, MEMBERS, Owner
-from gullhold.standins import ownercheck
+from gullhold.standins import ownercheck, walking
 
 
 class NoDriftMargin(Owner):
@@ -155,11 +155,4 @@
 
 def find(mutant, walks, steps):
     """(seed, what broke) of the first walk that finds it, or None."""
-    for seed in range(walks):
-        try:
-            ownercheck.walk(seed, steps, mutant)
-        except ownercheck.Broken as fault:
-            return seed, str(fault).partition("; after")[0]
-        except Exception as fault:   # it fell over its own state: found too
-            return seed, repr(fault)
-    return None
+    return walking.find(lambda seed: ownercheck.walk(seed, steps, mutant), walks)
--- a/gullhold/standins/plancheck.py
+++ b/gullhold/standins/plancheck.py
@@ -10,6 +10,7 @@
 from gullhold.fleet.calendar import Calendar
 from gullhold.fleet.calls import DONE, MAYBE, NOT_DONE, Item, Put, Reply
 from gullhold.fleet.schedule import Kind, Plan, Rule, record_of
+from gullhold.standins.walking import Broken
 
 S = 1_000_000
 KINDS = tuple(Kind(effect, 3 * S, 2 * S, True) for effect in range(3))
@@ -17,10 +18,6 @@
 NO_EFFECT = (schedule.SHED, schedule.UNDONE)
 
 
-class Broken(Exception):
-    """A promise that was not kept; the text says which."""
-
-
 class Store:
     """A register of a few lines, for one command; `lose` is what becomes of the next write's reply."""
 
