--- /dev/null
+++ b/tests/test_rehearsal.py
@@ -0,0 +1,161 @@
+"""Virtual time, byte streams and scripts: what rehearsals will stand on."""
+
+from random import Random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from gullhold.rehearsal import script
+from gullhold.rehearsal.clock import Clock, Stuck
+from gullhold.rehearsal.script import Bad, Fault
+from gullhold.rehearsal.streams import CLOSED, RESET, Way, Wire
+
+
+def test_events_come_in_order_of_time_and_then_as_they_were_asked_for():
+    clock, seen = Clock(), []
+    clock.at(20, seen.append, "c")
+    clock.at(10, seen.append, "a")
+    clock.at(10, seen.append, "b")
+    gone = clock.after(15, seen.append, "never")
+    clock.cancel(gone)
+    clock.run(15)
+    assert seen == ["a", "b"] and clock.now == 15 and clock.due() == 20
+    clock.at(3, seen.append, "late")   # not before now
+    clock.run(100)
+    assert seen == ["a", "b", "late", "c"] and clock.now == 100 and not clock.step()
+
+
+def test_a_search_chooses_among_what_is_due_at_one_instant():
+    orders = set()
+    for choice in range(6):
+        clock, seen = Clock(choose=lambda count, choice=choice: choice % count), []
+        for name in "abc":
+            clock.at(5, seen.append, name)
+        clock.run(9)
+        orders.add("".join(seen))
+    assert len(orders) == 6
+
+
+def test_the_wall_clock_jumps_and_spans_of_time_do_not():
+    clock, seen = Clock(), []
+    clock.after(100, lambda: seen.append(clock.now))
+    before = clock.wall_us()
+    clock.jump(-2_000_000)
+    assert clock.wall_us() == before - 2_000_000
+    clock.run(200)
+    assert seen == [100]
+
+
+def test_what_goes_round_without_time_passing_is_said_to_be_stuck():
+    clock = Clock()
+    clock.MOST_AT_ONCE = 50
+
+    def again():
+        clock.after(0, again)
+
+    clock.after(0, again)
+    with pytest.raises(Stuck):
+        clock.run(1)
+
+
+class End:
+    """One end of a wire, which keeps what it hears."""
+
+    def __init__(self):
+        self.data, self.how, self.rooms = b"", None, 0
+
+    def came(self, data):
+        self.data += data
+
+    def ended(self, how):
+        self.how = how
+
+    def room(self):
+        self.rooms += 1
+
+
+def wire(seed=1, **way):
+    clock, near, far = Clock(), End(), End()
+    return clock, near, far, Wire(clock, Random(seed).random, near, far, Way(**way), Way())
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(st.lists(st.binary(max_size=40), max_size=12), st.integers(0, 5), st.integers(0, 900))
+def test_bytes_arrive_whole_and_in_order_whatever_the_pieces_and_the_jitter(parts, piece, jitter):
+    clock, _, far, both = wire(piece=piece, jitter_us=jitter, window=10_000)
+    for part in parts:
+        both.there.write(part)
+        clock.run(clock.now + 70)
+    both.there.finish()
+    clock.run(10**7)
+    assert far.data == b"".join(parts) and far.how == CLOSED
+
+
+def test_a_full_window_holds_a_writer_back_until_something_has_arrived():
+    clock, near, far, both = wire(window=10, piece=4)
+    assert both.there.write(b"x" * 25) == 10 and both.there.write(b"y") == 0
+    clock.run(1000)
+    assert far.data == b"x" * 10 and near.rooms == 1
+    assert both.there.write(b"z" * 3) == 3
+
+
+def test_a_reset_loses_what_is_under_way_at_its_end_and_tells_both():
+    clock, near, far, both = wire(delay_us=500)
+    both.there.write(b"first")
+    clock.run(600)
+    both.back.write(b"answer")
+    both.reset()
+    clock.run(5000)
+    assert (near.how, far.how) == (RESET, RESET) and far.data == b"first" and near.data == b""
+    with pytest.raises(BrokenPipeError):
+        both.there.write(b"more")
+
+
+def test_a_machine_that_vanished_says_nothing_and_what_it_was_sent_arrives_when_it_is_back():
+    clock, near, far, both = wire()
+    both.silence()
+    both.there.write(b"is anybody there")
+    both.back.finish()
+    clock.run(10**6)
+    assert far.data == b"" and near.how is None
+    both.heal()
+    clock.run(2 * 10**6)
+    assert far.data == b"is anybody there" and near.how == CLOSED
+
+
+PLACES = {"wire": 6, "engine": 4, "gateway": 3, "client": 2, "coordinator": 1}
+
+
+def test_a_script_is_the_same_for_one_seed_and_is_printed_and_read():
+    one = script.drawn(7, 12, 10**7, PLACES)
+    assert one == script.drawn(7, 12, 10**7, PLACES) != script.drawn(8, 12, 10**7, PLACES)
+    assert script.faults_of("# by hand\n\n" + script.text_of(one)) == one
+    assert all(fault.place < PLACES[script.KINDS[fault.kind][0]] for fault in one)
+    met = {fault.kind for seed in range(60) for fault in script.drawn(seed, 12, 10**7, PLACES)}
+    assert met == set(script.KINDS)
+    assert all(script.KINDS[fault.kind][0] == "engine" for fault in script.drawn(1, 20, 100, {"engine": 2}))
+
+
+@pytest.mark.parametrize("line, why", [
+    ("{", "line 1: not a fault"),
+    ('{"at_us": 1, "kind": "storm", "place": 0, "size": 1}', "is called 'storm'"),
+    ('{"at_us": 1, "kind": "slow", "place": 0, "size": 99}', "2 to 20"), ("[1]", "not a fault"),
+    ('{"at_us": -1, "kind": "reset", "place": 0, "size": 0}', "from 0 on")])
+def test_a_script_that_can_not_be_played_is_one_line_with_its_number(line, why):
+    with pytest.raises(Bad, match=why):
+        script.faults_of(line)
+
+
+def test_a_failing_script_is_cut_down_to_what_makes_it_fail():
+    faults = script.drawn(3, 40, 10**7, PLACES)
+    needed = {faults[5], faults[31]}
+    tries = []
+
+    def fails(some):
+        tries.append(1)
+        return needed <= set(some)
+
+    assert set(script.shrunk(faults, fails)) == needed and len(tries) < 160
+    assert script.shrunk([Fault(1, "reset", 0, 0)], lambda some: True) == []
+    assert len(script.pairs([Fault(1, "reset", 0, 0), Fault(2, "kill", 0, 0), Fault(3, "kill", 1, 0)])) == 1
