Whoever carries a change or divides believes no read from the past

Guard: an answer older than what was known when it was asked for is asked for again. A test fails without it.

--- a/gullhold/budgets/duty.py
+++ b/gullhold/budgets/duty.py
@@ -84,6 +84,7 @@
         self.token, self.out, self.serials = 0, [], count(1)
         self.reading, self.writing = None, None   # serials of the calls under way
         self.again_at, self.loaded = 0, False
+        self.newest = self.known = 0   # revision that we were told of: now, and when a read was asked for
         self.early = []   # changes that came before the reply to READ: it may not show them
         self.divider, self.fence, self.revision = None, 0, 0
         self.dirty, self.gone, self.write_number = {}, {}, 0   # members to write; whose keys to take away
@@ -125,7 +126,7 @@
         if not self.token or self.reading or self.writing or now < self.again_at:
             return
         if not self.loaded:
-            self.reading, self.early = (self.token, next(self.serials)), []
+            self.reading, self.early, self.known = (self.token, next(self.serials)), [], self.newest
             self.out.append((READ, self.reading, ROOT))
         elif now >= self.last_at + LEAST_US:
             self._divide(now)
@@ -163,6 +164,7 @@
         self.writing = None
         if reply.proof == DONE and reply.met:
             self.fence = reply.revision
+            self.newest = max(self.newest, reply.revision)
             self.step(now)
             return
         if reply.proof != DONE:
@@ -175,9 +177,11 @@
         if not self.token or self.reading != serial:
             return
         self.reading = None
-        if reply.proof != DONE:
+        # Guards against a read from the past: what it does not show is not told again.
+        if reply.proof != DONE or reply.revision < self.known:
             self.again_at = now + AGAIN_US
             return
+        self.newest = max(self.newest, reply.revision)
         self.divider, self.fence = self.make(self.budgets, self.weights), 0
         self.dirty, self.gone, self.loaded = {}, {}, True
         rows, asks = {}, {}
@@ -203,6 +207,7 @@
 
     def changed(self, now, key, value, revision):
         """A report changed; value None: its lease has ended."""
+        self.newest = max(self.newest, revision)
         if self.reading:
             self.early.append((key, value, revision))
         if not self.loaded or revision <= self.revision and value is not None:
--- a/gullhold/revisions/change.py
+++ b/gullhold/revisions/change.py
@@ -132,6 +132,7 @@
         self.fits, self.token, self.out = fits, 0, []
         self.serials, self.reading, self.writing, self.again_at, self.loaded = count(1), None, None, 0, False
         self.early, self.revision, self.roll = [], 0, 0
+        self.newest = self.known = 0   # revision that we were told of: now, and when a read was asked for
         self.change, self.change_at, self.current, self.current_at = None, 0, FIRST, 0
         self.words, self.past, self.since = {}, [], 0   # by member; numbers; since when it stands so
         self.said = Counter()   # words less their reasons: not all members are looked through for each
@@ -166,7 +167,7 @@
         if not self.token or self.reading or self.writing or now < self.again_at:
             return
         if not self.loaded:
-            self.reading, self.early = (self.token, next(self.serials)), []
+            self.reading, self.early, self.known = (self.token, next(self.serials)), [], self.newest
             self.out.append((READ, self.reading, ROOT))
         elif self.change:
             getattr(self, "_" + self.change.state)(now)
@@ -293,7 +294,9 @@
         if self.writing != serial:
             return
         self.writing = None
-        if reply.proof != DONE:
+        if reply.proof == DONE:
+            self.newest = max(self.newest, reply.revision)
+        else:
             self.again_at = now + AGAIN_US
         self.loaded = False
         self.step(now)
@@ -303,9 +306,11 @@
         if not self.token or self.reading != serial:
             return
         self.reading = None
-        if reply.proof != DONE:
+        # Guards against a read from the past: what it does not show is not told again.
+        if reply.proof != DONE or reply.revision < self.known:
             self.again_at = now + AGAIN_US
             return
+        self.newest = max(self.newest, reply.revision)
         before = (self.change and self.change.record.number, self.change and self.change.state)
         self.change, self.change_at, self.current, self.current_at, self.roll = None, 0, FIRST, 0, 0
         self.words, self.past, self.loaded, self.revision = {}, [], True, reply.revision
@@ -324,6 +329,7 @@
 
     def changed(self, now, key, value, revision):
         """A key changed; value None: it is gone."""
+        self.newest = max(self.newest, revision)
         if self.reading:
             self.early.append((key, value, revision))
         if not self.loaded or revision < self.revision:
--- a/gullhold/revisions/member.py
+++ b/gullhold/revisions/member.py
@@ -215,8 +215,8 @@
     def _seen_again(self, now, reply, _word):
         """A look at what stands, besides the watch: guards against a watch that has fallen silent while the
         lease is kept."""
-        if reply.proof != DONE:
-            return
+        if reply.proof != DONE or reply.revision < max(self.seen, *self.heard.values(), 0):
+            return   # or an answer from the past
         found = {item.key: item for item in reply.items}
         for key in (CURRENT, CHANGE):
             item = found.get(key)
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -6,6 +6,9 @@
 from hypothesis import strategies as st
 
 from gullhold import interface as api
+from gullhold.budgets import duty
+from gullhold.budgets.divider import Budget
+from gullhold.fleet.calls import DONE, Item, Reply
 from gullhold.revisions import change, record
 from gullhold.revisions.record import FIRST, Policy, Record, Unfit
 from gullhold.standins import changecheck, changemutants, dividecheck, dividemutants
@@ -163,6 +166,28 @@
         change.propose(opened.record, {}, {}, overlap=change.STRICT, canary=opened.canary)
 
 
+def test_a_read_from_the_past_is_not_believed_by_whoever_carries_or_divides():
+    opened = change.Open(Record(1, 0, "", "", 0, "policy: {}").sealed())
+    carrier, dividing = change.Carrier(lambda record: ""), duty.Dividing({"b": Budget("held", 5)})
+    for one in (carrier, dividing):
+        one.won(1, 0)
+        one.read(0, one.take()[0][1], Reply(DONE, 7))
+        assert one.loaded
+    carrier.changed(0, change.CHANGE, opened.pack(), 9)   # it reads what was proposed
+    dividing.changed(0, duty.ASKS + "a/1", duty.report_text(0, {"b/0": (0, 1, 1)}), 9)
+    dividing.missed(0)
+    dividing.written(0, dividing.writing, Reply(DONE, 10, met=False))
+    for one in (carrier, dividing):
+        serial = one.take()[-1][1]
+        one.read(0, serial, Reply(DONE, 7))
+        assert not one.loaded and not one.take()
+        one.step(change.AGAIN_US)
+        one.read(change.AGAIN_US, one.take()[0][1], Reply(DONE, 11, items=(
+            Item(change.CHANGE, opened.pack(), 9),) if one is carrier else ()))
+        assert one.loaded
+    assert any(row[0] == change.WRITE for row in carrier.take())
+
+
 @settings(derandomize=True, max_examples=40, deadline=None)
 @given(st.integers(0, 2**32))
 def test_walks_through_changes_keep_everywhere_or_nowhere(seed):
