--- a/benchmarks/budgets.py
+++ b/benchmarks/budgets.py
@@ -11,9 +11,10 @@
 
 from benchmarks import begin_decisions, close, decided, p95
 from gullhold.budgets.divider import Budget
-from gullhold.budgets.duty import ASKS, PARTS, READ, WRITE, Dividing, report_text
+from gullhold.budgets.duty import ASKS, PARTS, Dividing, report_text
 from gullhold.budgets.ledger import HELD, WINDOWED
 from gullhold.fleet.calls import DONE, Item, Put, Reply
+from gullhold.fleet.holding import READ, WRITE
 from gullhold.standins import crowd, dividecheck, dividemutants
 from gullhold.standins.budgetcheck import Parts, further_sends, most_at_once, most_in_window
 from gullhold.standins.counting import CountingEngine
--- a/benchmarks/change.py
+++ b/benchmarks/change.py
@@ -11,6 +11,7 @@
 
 from benchmarks import begin_decisions, close, decided, p95
 from gullhold.fleet.calls import DONE, Item, Put, Reply
+from gullhold.fleet.holding import READ, WRITE
 from gullhold.revisions import change
 from gullhold.revisions.record import Record, Unfit
 from gullhold.revisions.show import DROPPED, IN_FORCE, Away, Office
@@ -209,7 +210,7 @@
 
 def calls_alone(members):
     """By the decisions alone: (calls of the carrier for one strict change, s that it takes to decide)."""
-    carrier, calls, revision, now = change.Carrier(lambda record: ""), 0, 10, 0
+    carrier, calls, revision, now = change.Carrier(), 0, 10, 0
     record, keys = Record(1, 0, "", "", 0, "policy: {}").sealed(), {}
     keys[change.CHANGE] = change.Open(record, overlap=change.STRICT).pack()
     for i in range(members):
@@ -222,11 +223,11 @@
         while True:
             rows = carrier.take()
             for what, *told in rows:
-                calls += what in (change.READ, change.WRITE)
-                if what == change.READ:
+                calls += what in (READ, WRITE)
+                if what == READ:
                     items = tuple(Item(key, value, revision) for key, value in keys.items())
                     carrier.read(now, told[0], Reply(DONE, revision, items=items))
-                elif what == change.WRITE:
+                elif what == WRITE:
                     revision += 1
                     for act in told[2]:
                         keys[act.key] = act.value if isinstance(act, Put) else keys.pop(act.key) and None
--- a/gullhold/budgets/driver.py
+++ b/gullhold/budgets/driver.py
@@ -12,6 +12,7 @@
 from gullhold.budgets.divider import Budget
 from gullhold.budgets.purse import Purses, Rule
 from gullhold.fleet.calls import DONE, Get, Put, Read, Txn
+from gullhold.fleet.holding import IDLE_US
 
 OF = {"threads": api.THREADS, "memory": api.MEMORY, "open": api.OPEN, "further": api.FURTHER,
       "cold": api.COLD, "taken": api.TAKEN, "share": api.SHARE, "lists": api.LISTS}   # the operator's words
@@ -24,13 +25,23 @@
 LEAST_US = 50_000        # us between reports of one member
 CALM = 5                 # looks that are left out while nothing runs dry and nothing is to be given back
 PATIENCE_S = 1.0         # that the follower of the list waits for the core's word
-LANES = ("reports", "dividing")   # of calls: neither waits for the other
+LANES = ("reports", duty.DUTY)   # of calls: neither waits for the other
 
 
 class Unfit(Exception):
     """A budget that does not fit the agreement; the text is one plain line."""
 
 
+def name_of(record):
+    """What the fleet calls a budget, or all of one kind: the operator's word, and the tenant's name."""
+    return f"{record.of}/{record.tenant}" if record.tenant else record.of
+
+
+def tenants_of(deal):
+    """Names of those by whom commands are counted, by index: tenants, else profiles."""
+    return [tenant.name for tenant in deal.tenants] or [profile.name for profile in deal.profiles]
+
+
 def kind_of(budget):
     """The ledger's kind of a budget."""
     return ledger.HELD if budget in HELD else ledger.WINDOWED if budget in WINDOWED else ledger.WEIGHT
@@ -50,8 +61,7 @@
     drift: a share; windows and times to linger are lengthened by it, so that none is over too soon by a clock
     that runs fast.
     """
-    budgets, rules = {}, {}
-    tenants = [tenant.name for tenant in deal.tenants] or [profile.name for profile in deal.profiles]
+    budgets, rules, tenants = {}, {}, tenants_of(deal)
     longest = max((profile.timeout_us for profile in deal.profiles), default=0)
     for record in sorted(records, key=lambda record: record.tenant):   # those for each come first
         budget = OF[record.of]
@@ -64,7 +74,7 @@
         # What an earlier process in this one's place began alone has to be over before this one may.
         rule = Rule(of_all.kind, record.whole, window, int(SETTLE_US * (1 + drift)), record.alone,
                     window if budget in WINDOWED else linger)
-        budgets[f"{record.of}/{record.tenant}" if record.tenant else record.of] = of_all
+        budgets[name_of(record)] = of_all
         if budget in EACH:
             rules[budget, None] = rule
         elif budget in TENANTS:
@@ -81,15 +91,14 @@
     def __init__(self, fleet, record, deal, clock):
         self.fleet, self.core, self.clock, self.look_us = fleet, fleet.core, clock, record.look
         budgets, rules = rules_of(record.budgets, deal, record.drift.rate)
-        names = [tenant.name for tenant in deal.tenants] or [profile.name for profile in deal.profiles]
+        names = tenants_of(deal)
         self.purses = Purses(
             rules, lambda budget, of: f"{WORDS[budget]}/{names[of] if budget in TENANTS else of}",
             fleet.owner.lease, clock, lambda: fleet.queue.put(("rush",)))
-        self.teller, self.dividing = Teller(LEAST_US), duty.Dividing(budgets)
+        self.teller, fleet.held[duty.DUTY] = Teller(LEAST_US), duty.Dividing(budgets)
         self.lease, self.told, self.cut = 0, {}, False      # reports are for this lease; parts as last told
         self.revision = 0                                   # of our report, as the register has it
-        self.looking, self.look_at, self.writing, self.known = False, 0, False, False
-        self.looked_at = 0
+        self.look_at, self.looked_at, self.writing, self.known = 0, 0, False, False
         self.pending = []                                   # what the core's thread is to be told
         self.leaving, self.given_back = False, False
         self.core.checks.append(self.purses.sure)
@@ -99,7 +108,7 @@
     def start(self, follow):
         """follow(name, prefix, what): a watcher of these keys, whose changes come as this event."""
         self.rows = follow("parts", f"{duty.PARTS}{self.fleet.name}/", "row_changed")
-        self.asks = follow("reports", duty.ASKS, "ask_changed")
+        self.fleet.watchers[duty.DUTY] = follow("reports", duty.ASKS, "duty_changed", duty.DUTY)
 
     # On the core's thread
 
@@ -137,13 +146,12 @@
 
     def due(self, now):
         """When to step() at the latest."""
-        times = [self.dividing.due(now)]
-        if not self.looking:
-            times.append(now if self.pending else self.look_at)
-        return min(times)
+        if self.looking:
+            return now + IDLE_US
+        return now if self.pending else self.look_at
 
     def step(self, now):
-        """Look at what is used, tell it, divide."""
+        """Look at what is used, and tell it."""
         lease = self.fleet.owner.lease
         if lease.id and lease.id != self.lease:
             self.lease, self.known, self.told, self.revision = lease.id, False, {}, 0
@@ -154,8 +162,6 @@
             self.core.first(self._on_core, pending)
         if self.leaving and self.core.ended and not self.given_back:
             self._give_back()
-        self.dividing.step(now)
-        self.carry()
 
     def rush(self):
         """Something runs dry: look as soon as may be."""
@@ -247,24 +253,6 @@
         """Changes of our row were missed."""
         self.lane("reports").put(Read(f"{duty.PARTS}{self._key()}"), "rows_read", self.lease)
 
-    # The divider
-
-    def carry(self):
-        """What the divider wants done."""
-        while out := self.dividing.take():
-            for what, *told in out:
-                if what == duty.READ:
-                    self.lane("dividing").put(Read(told[1]), "books_read", told[0])
-                elif what == duty.WRITE:
-                    serial, token, acts, when = told
-                    self.lane("dividing").put(self.fleet.owner.effect(duty.DUTY, token, acts, when),
-                                              "divided", serial, token)
-                elif what == duty.FOLLOW:
-                    self.asks.follow(told[0])
-                else:
-                    level, text, facts = told
-                    self.fleet.event(level, text, duty=duty.DUTY, token=self.dividing.token, **facts)
-
     def lane(self, name):
         """A lane of the fleet's."""
         return self.fleet.lanes[name]
--- a/gullhold/budgets/duty.py
+++ b/gullhold/budgets/duty.py
@@ -7,20 +7,17 @@
 """
 
 import json
-from itertools import count
 
 from gullhold.budgets.divider import Divider
-from gullhold.fleet.calls import DONE, TXN_MOST, Drop, Put
+from gullhold.fleet.calls import TXN_MOST, Drop, Put
+from gullhold.fleet.holding import TELL, Holder
 
 ROOT = "budget/"
 ASKS, PARTS, FENCE = ROOT + "asks/", ROOT + "parts/", ROOT + "fence"
 DUTY = "budgets"
-READ, WRITE, FOLLOW, TELL = range(4)   # what it hands out
 ROWS_MOST = (TXN_MOST - 2) // 2        # rows in one write: each may come with a report to take away
 SERIALS = 1 << 20                      # writes under one token: numbers grow over tokens too
 LEAST_US = 20_000                      # us between writes: several reports are answered by one
-IDLE_US = 2_000_000                    # us between steps while nothing is told: all that comes makes a step
-AGAIN_US = 200_000                     # us until the next try after a reply that proves nothing
 
 
 def report_text(seen, told, left=False):
@@ -71,29 +68,14 @@
     return packed if isinstance(packed, int) else packed[0]
 
 
-class Dividing:
-    """The duty while we own it. Everything it wants done is in take(); due() is when to step(). Times are us
-    of a monotonic clock.
-
-    Handed out: (READ, serial, prefix), answered by read(); (WRITE, serial, token, acts, when), answered by
-    written(); (FOLLOW, revision): changes of reports from there on, to changed(); (TELL, level, text, facts).
-    """
+class Dividing(Holder):
+    """The duty of dividing, while we own it."""
 
     def __init__(self, budgets, weights=None, make=Divider):
+        super().__init__(ROOT)
         self.budgets, self.weights, self.make = budgets, weights, make
-        self.token, self.out, self.serials = 0, [], count(1)
-        self.reading, self.writing = None, None   # serials of the calls under way
-        self.again_at, self.loaded = 0, False
-        self.newest = self.known = 0   # revision that we were told of: now, and when a read was asked for
-        self.early = []   # changes that came before the reply to READ: it may not show them
-        self.divider, self.fence, self.revision = None, 0, 0
-        self.dirty, self.gone, self.write_number = {}, {}, 0   # members to write; whose keys to take away
-        self.last_at, self.moves, self.writes = 0, 0, 0
-
-    def take(self):
-        """What is to be done now, in order."""
-        out, self.out = self.out, []
-        return out
+        self.divider, self.fence, self.revision, self.last_at = None, 0, 0, 0
+        self.dirty, self.gone = {}, {}   # members to write; whose keys to take away
 
     def resize(self, wholes):
         """{name or word: whole} from now on, for this divider and the books that it reads."""
@@ -102,33 +84,17 @@
         if self.divider:
             self.divider.resize(wholes)
 
-    def won(self, token, now):
-        """The duty is ours, under this token."""
-        self.token, self.serials, self.writing, self.reading = token, count(1), None, None
-        self.loaded, self.again_at = False, 0
-        self.step(now)
-
     def lost(self):
-        """The duty is not surely ours: nothing is written."""
-        self.token, self.divider, self.loaded, self.writing = 0, None, False, None
-
-    def due(self, now):
-        """When to step at the latest."""
-        if not self.token or self.reading or self.writing:
-            return now + IDLE_US
-        if not self.loaded:
-            return max(now, self.again_at)
+        """The duty is not surely ours: the books are another's."""
+        super().lost()
+        self.divider = None
+
+    def _next_at(self, _now):
         at = 0 if self.dirty or self.gone or self.divider.over else self.divider.due()
-        return now + IDLE_US if at is None else max(now, at, self.last_at + LEAST_US, self.again_at)
+        return None if at is None else max(at, self.last_at + LEAST_US)
 
-    def step(self, now):
-        """Do what is next, if nothing is under way."""
-        if not self.token or self.reading or self.writing or now < self.again_at:
-            return
-        if not self.loaded:
-            self.reading, self.early, self.known = (self.token, next(self.serials)), [], self.newest
-            self.out.append((READ, self.reading, ROOT))
-        elif now >= self.last_at + LEAST_US:
+    def _next(self, now):
+        if now >= self.last_at + LEAST_US:
             self._divide(now)
 
     def _divide(self, now):
@@ -152,38 +118,18 @@
         for member in gone:
             acts += [Drop(PARTS + member), Drop(ASKS + member)]
             del self.gone[member]
-        self.writes += 1
-        self.moves += sum(map(len, found.values()))
-        self.writing, self.last_at = (self.token, next(self.serials)), now
-        self.out.append((WRITE, self.writing, self.token, tuple(acts), ((FENCE, self.fence),)))
-
-    def written(self, now, serial, reply):
-        """The reply to a WRITE."""
-        if self.writing != serial:
-            return
-        self.writing = None
-        if reply.proof == DONE and reply.met:
+        self.last_at = now
+        self._write(acts, ((FENCE, self.fence),))
+
+    def _kept(self, reply):
+        if reply.met:
             self.fence = reply.revision
-            self.newest = max(self.newest, reply.revision)
-            self.step(now)
-            return
-        if reply.proof != DONE:
-            self.again_at = now + AGAIN_US
-        self.loaded = False   # what stands is not known: read it
-        self.step(now)
-
-    def read(self, now, serial, reply):
-        """The reply to READ: rows first, then who reports; who stands in a row and does not has left."""
-        if not self.token or self.reading != serial:
-            return
-        self.reading = None
-        # Guards against a read from the past: what it does not show is not told again.
-        if reply.proof != DONE or reply.revision < self.known:
-            self.again_at = now + AGAIN_US
-            return
-        self.newest = max(self.newest, reply.revision)
+        return reply.met
+
+    def _load(self, now, reply):
+        """Rows first, then who reports; who stands in a row and does not has left."""
         self.divider, self.fence = self.make(self.budgets, self.weights), 0
-        self.dirty, self.gone, self.loaded = {}, {}, True
+        self.dirty, self.gone = {}, {}
         rows, asks = {}, {}
         for item in reply.items:
             if item.key == FENCE:
@@ -199,19 +145,12 @@
             if member not in asks:
                 self.divider.left(member, now)
         self.revision = reply.revision
-        self.out.append((FOLLOW, reply.revision + 1))
         self.out.append((TELL, "info", "divides", {"members": len(asks), "rows": len(rows)}))
-        for key, value, revision in self.early:
-            self.changed(now, key, value, revision)
-        self.step(now)
 
-    def changed(self, now, key, value, revision):
+    def _change(self, now, key, value, revision):
         """A report changed; value None: its lease has ended."""
-        self.newest = max(self.newest, revision)
-        if self.reading:
-            self.early.append((key, value, revision))
-        if not self.loaded or revision <= self.revision and value is not None:
-            return   # that of an older one was read; an end that was read already changes nothing
+        if revision <= self.revision and value is not None:
+            return False   # that of an older one was read; an end that was read already changes nothing
         self.revision = max(self.revision, revision)
         member = key.removeprefix(ASKS)
         if value is not None:
@@ -220,7 +159,7 @@
             self.divider.left(member, now)
             if member not in self.divider.rows:
                 self.gone[member] = None
-        self.step(now)
+        return True
 
     def _heard(self, member, value, now):
         report = report_of(value)
@@ -234,8 +173,3 @@
                 self.gone[member] = None
         else:
             self.divider.report(member, seen, told, now)
-
-    def missed(self, now):
-        """Changes were missed: all is read anew."""
-        self.loaded = False
-        self.step(now)
--- a/gullhold/budgets/purse.py
+++ b/gullhold/budgets/purse.py
@@ -49,11 +49,8 @@
 
     def may(self, amount):
         """Whether so much more may be begun now."""
-        purses = self.purses
-        now = purses.clock()
-        used = self.used(now) if self.fading or self.spent else self.out
-        most = self.part if purses.holds(now) else 0
-        if used + amount <= (most + self.alone(now) if self.rule.alone else most):
+        now = self.purses.clock()
+        if self.used(now) + amount <= self.most(now):
             return True
         self.short = True
         self.purses.rush()
--- a/gullhold/fleet/driver.py
+++ b/gullhold/fleet/driver.py
@@ -14,7 +14,7 @@
 from gullhold import interface as api
 from gullhold.budgets import duty as dividing
 from gullhold.budgets.driver import LANES, Budgets, Unfit
-from gullhold.fleet import owner, schedule
+from gullhold.fleet import holding, owner, schedule
 from gullhold.fleet.calendar import Bad, Calendar
 from gullhold.fleet.calls import DONE, Put, Read
 from gullhold.fleet.errands import Desk
@@ -129,6 +129,7 @@
                          lambda *told_: self.queue.put(("answered", *told_)), self.chance.getrandbits)
         self.asked = {}                   # commands that are out: their duty
         self.away_since = None            # since when the register does not answer
+        self.held, self.watchers = {}, {}   # by duty: what holds its keys; what follows them
         try:
             self.budgets = Budgets(self, record, told["deal"], clock) if record.budgets else None
         except Unfit as fault:
@@ -170,11 +171,12 @@
                 part.start(self._watcher)
         Thread(target=self._run, name="fleet", daemon=True).start()
 
-    def _watcher(self, name, prefix, what):
+    def _watcher(self, name, prefix, what, *of):
         """Changes of these keys come as this event; where some were missed, as `missed` with its name."""
         pauses = Pauses(self.record.duties.pauses.least, self.record.duties.pauses.most, self.chance.random)
         return Watcher(name, self.make, prefix, QUIET_LEASES * self.record.lease / MILLION, pauses,
-                       lambda *told: self.queue.put((what, *told)), lambda: self.queue.put(("missed", what)))
+                       lambda *told: self.queue.put((what, *of, *told)),
+                       lambda: self.queue.put(("missed", what, *of)))
 
     def leave(self):
         """SIGTERM: give back in good order; `gone` is set when that is done."""
@@ -198,6 +200,8 @@
             for part in (self.budgets, self.policies):
                 if part:
                     self._guarded(part.step, clock())
+            for duty, holder in self.held.items():
+                self._guarded(self._step_held, duty, holder)
         self._guarded(self._carry_out)
         self.gone.set()
 
@@ -213,6 +217,7 @@
         now, unix_now = clock(), unix()
         waits = [self.owner.due(now) - now, (self.beats.due() or now + MILLION) - now]
         waits += [part.due(now) - now for part in (self.budgets, self.policies) if part]
+        waits += [holder.due(now) - now for holder in self.held.values()]
         waits += [plan.due(unix_now) - unix_now for plan in self.plans.values() if plan.token]
         return max(LEAST_S, min(IDLE_S, min(waits) / MILLION))
 
@@ -243,7 +248,7 @@
         elif duty.startswith(BEAT):
             self.beats.won(duty, token, clock())
         else:
-            (self.policies.carrier if duty == CARRIES else self.budgets.dividing).won(token, clock())
+            self.held[duty].won(token, clock())
 
     def _lost(self, duty, why):
         self.event("info", "owns no more", duty=duty, why=why)
@@ -253,7 +258,24 @@
         elif duty.startswith(BEAT):
             self.beats.gone(duty)
         else:
-            (self.policies.carrier if duty == CARRIES else self.budgets.dividing).lost()
+            self.held[duty].lost()
+
+    def _step_held(self, duty, holder):
+        """Go on with a duty's keys, and do what is wanted."""
+        holder.step(clock())
+        while out := holder.take():
+            for what, *told in out:
+                if what == holding.READ:
+                    self.lanes[duty].put(Read(told[1]), "duty_read", duty, told[0])
+                elif what == holding.WRITE:
+                    serial, token, acts, when = told
+                    request = self.owner.effect(duty, token, acts, when)
+                    self.lanes[duty].put(request, "duty_written", duty, serial, token)
+                elif what == holding.FOLLOW:
+                    self.watchers[duty].follow(told[0])
+                else:
+                    level, text, facts = told
+                    self.event(level, text, duty=duty, token=holder.token, **facts)
 
     def _carry_plan(self, duty, plan):
         """What a scheduled command wants done."""
@@ -308,15 +330,13 @@
     def _on_changed(self, key, value, revision):
         self.owner.changed(clock(), key, value, revision)
 
-    def _on_missed(self, what):
+    def _on_missed(self, what, duty=""):
         if what == "changed":
             self.owner.watch_lost(clock())
-        elif what == "ask_changed":
-            self.budgets.dividing.missed(clock())
+        elif what == "duty_changed":
+            self.held[duty].missed(clock())
         elif what == "policy_changed":
             self.policies.member.missed(clock())
-        elif what == "words_changed":
-            self.policies.carrier.missed(clock())
         else:
             self.budgets.row_missed()
 
@@ -343,6 +363,16 @@
         if duty:
             self.plans[duty].ended(unix(), state, why)
 
+    def _on_duty_changed(self, duty, key, value, revision):
+        self.held[duty].changed(clock(), key, value, revision)
+
+    def _on_duty_read(self, duty, serial, reply):
+        self.held[duty].read(clock(), serial, reply)
+
+    def _on_duty_written(self, duty, serial, token, reply):
+        self.refused(duty, token, reply)
+        self.held[duty].written(clock(), serial, reply)
+
     # Budgets
 
     def _on_rush(self):
@@ -360,16 +390,6 @@
     def _on_row_changed(self, key, value, revision):
         self.budgets.row_changed(key, value, revision)
 
-    def _on_ask_changed(self, key, value, revision):
-        self.budgets.dividing.changed(clock(), key, value, revision)
-
-    def _on_books_read(self, serial, reply):
-        self.budgets.dividing.read(clock(), serial, reply)
-
-    def _on_divided(self, serial, token, reply):
-        self.refused(dividing.DUTY, token, reply)
-        self.budgets.dividing.written(clock(), serial, reply)
-
     def _on_gave_back(self, reply):
         self.budgets.gave_back(reply)
 
@@ -386,13 +406,3 @@
 
     def _on_policy_changed(self, key, value, revision):
         self.policies.member.changed(clock(), key, value, revision)
-
-    def _on_words_changed(self, key, value, revision):
-        self.policies.carrier.changed(clock(), key, value, revision)
-
-    def _on_policy_read(self, serial, reply):
-        self.policies.carrier.read(clock(), serial, reply)
-
-    def _on_policy_written(self, serial, token, reply):
-        self.refused(CARRIES, token, reply)
-        self.policies.carrier.written(clock(), serial, reply)
--- a/gullhold/revisions/change.py
+++ b/gullhold/revisions/change.py
@@ -9,10 +9,10 @@
 import json
 from collections import Counter
 from hashlib import blake2s
-from itertools import count
 from typing import NamedTuple
 
-from gullhold.fleet.calls import DONE, Drop, Put
+from gullhold.fleet.calls import Drop, Put
+from gullhold.fleet.holding import TELL, Holder
 from gullhold.revisions import record as records
 from gullhold.revisions.record import FIRST, Record, Unfit
 
@@ -32,9 +32,7 @@
 LEAST_TOLD = 20        # commands of a canary from which its share of failures tells something
 LOOSE, STRICT = "loose", "strict"
 WAIT, DROP = "wait", "drop"
-READ, WRITE, FOLLOW, TELL = range(4)   # what it hands out
 KEPT = 50              # records that stay, for staff
-AGAIN_US = 200_000     # us until the next try after a reply that proves nothing
 
 
 class Canary(NamedTuple):
@@ -120,56 +118,26 @@
     return acts, ((CHANGE, 0), (CURRENT, revisions.get(CURRENT, 0)), (past_key(record.number), 0))
 
 
-class Carrier:
-    """The duty while we own it. Everything it wants done is in take(); due() is when to step(). Monotonic us.
+class Carrier(Holder):
+    """The duty of carrying a change through, while we own it."""
 
-    Handed out: (READ, serial, prefix), answered by read(); (WRITE, serial, token, acts, when), answered by
-    written(); (FOLLOW, revision), of words and of what is now, to changed(); (TELL, level, text, facts).
-    fits(record): what is wrong with one, by our own agreement; "": nothing.
-    """
-
-    def __init__(self, fits):
-        self.fits, self.token, self.out = fits, 0, []
-        self.serials, self.reading, self.writing, self.again_at, self.loaded = count(1), None, None, 0, False
-        self.early, self.revision, self.roll = [], 0, 0
-        self.newest = self.known = 0   # revision that we were told of: now, and when a read was asked for
+    def __init__(self):
+        super().__init__(ROOT)
+        self.revision, self.roll = 0, 0
         self.change, self.change_at, self.current, self.current_at = None, 0, FIRST, 0
         self.words, self.past, self.since = {}, [], 0   # by member; numbers; since when it stands so
         self.said = Counter()   # words less their reasons: not all members are looked through for each
 
-    def take(self):
-        """What is to be done now, in order."""
-        out, self.out = self.out, []
-        return out
-
-    def won(self, token, now):
-        """The duty is ours, under this token."""
-        self.token, self.writing, self.reading, self.loaded, self.again_at = token, None, None, False, 0
-        self.step(now)
-
-    def lost(self):
-        """The duty is not surely ours: nothing is written."""
-        self.token, self.loaded, self.writing, self.reading = 0, False, None, None
-
-    def due(self, now):
-        """When to step at the latest."""
-        if not self.token or self.reading or self.writing:
-            return now + AGAIN_US * 10
-        if not self.loaded:
-            return max(now, self.again_at)
+    def _next_at(self, now):
+        """What waits longer than its time waits for words: they come by themselves."""
         if self.change is None:
-            return now + AGAIN_US * 10
-        canary = self.change.state == CANARY
-        return max(now, self.since + (self.change.canary.time_us if canary else self.change.patience_us))
+            return None
+        spans = [self.change.patience_us]
+        spans += [self.change.canary.time_us] if self.change.state == CANARY else []
+        return min((self.since + span for span in spans if self.since + span > now), default=None)
 
-    def step(self, now):
-        """Do what is next, if nothing is under way."""
-        if not self.token or self.reading or self.writing or now < self.again_at:
-            return
-        if not self.loaded:
-            self.reading, self.early, self.known = (self.token, next(self.serials)), [], self.newest
-            self.out.append((READ, self.reading, ROOT))
-        elif self.change:
+    def _next(self, now):
+        if self.change:
             getattr(self, "_" + self.change.state)(now)
 
     # States
@@ -245,7 +213,7 @@
     def _close(self, _now):
         """Everybody goes by what is in force: the next change may come."""
         if all(under == self.current.number and word == UNDER for under, _, word in self.said):
-            self._write((Drop(CHANGE),))
+            self._put((Drop(CHANGE),))
 
     def _all(self, word):
         number = self.change.record.number
@@ -280,60 +248,32 @@
             acts += [Drop(past_key(old)) for old in self.past[:-KEPT]]
         if state == DECIDED:
             acts.append(Put(CURRENT, change.record.pack()))
-        self._write(tuple(acts))
+        self._put(acts)
 
-    def _write(self, acts):
-        self.writing = (self.token, next(self.serials))
-        self.out.append((WRITE, self.writing, self.token, acts, (
-            (CHANGE, self.change_at), (CURRENT, self.current_at), (ROLL, self.roll))))
+    def _put(self, acts):
+        self._write(acts, ((CHANGE, self.change_at), (CURRENT, self.current_at), (ROLL, self.roll)))
 
     # What comes
 
-    def written(self, now, serial, reply):
-        """The reply to a WRITE; what it did comes as changes of keys, and else all is read anew."""
-        if self.writing != serial:
-            return
-        self.writing = None
-        if reply.proof == DONE:
-            self.newest = max(self.newest, reply.revision)
-        else:
-            self.again_at = now + AGAIN_US
-        self.loaded = False
-        self.step(now)
+    def _kept(self, _reply):
+        """What a write did is read, with all else."""
+        return False
 
-    def read(self, now, serial, reply):
-        """The reply to READ."""
-        if not self.token or self.reading != serial:
-            return
-        self.reading = None
-        # Guards against a read from the past: what it does not show is not told again.
-        if reply.proof != DONE or reply.revision < self.known:
-            self.again_at = now + AGAIN_US
-            return
-        self.newest = max(self.newest, reply.revision)
+    def _load(self, now, reply):
         before = (self.change and self.change.record.number, self.change and self.change.state)
         self.change, self.change_at, self.current, self.current_at, self.roll = None, 0, FIRST, 0, 0
-        self.words, self.past, self.loaded, self.revision = {}, [], True, reply.revision
-        self.said = Counter()
+        self.words, self.past, self.said, self.revision = {}, [], Counter(), reply.revision
         for item in reply.items:
             self._item(item.key, item.value, item.revision)
         if before != (self.change and self.change.record.number, self.change and self.change.state):
             self.since = now
             if self.change:
-                self.out.append((TELL, "info", "change " + self.change.state, {
+                self.out.append((TELL, "info", "policy: change " + self.change.state, {
                     "number": self.change.record.number, "why": self.change.why}))
-        self.out.append((FOLLOW, reply.revision + 1))
-        for key, value, revision in self.early:
-            self.changed(now, key, value, revision)
-        self.step(now)
-
-    def changed(self, now, key, value, revision):
-        """A key changed; value None: it is gone."""
-        self.newest = max(self.newest, revision)
-        if self.reading:
-            self.early.append((key, value, revision))
-        if not self.loaded or revision < self.revision:
-            return
+
+    def _change(self, _now, key, value, revision):
+        if revision < self.revision:
+            return False
         self.revision = revision
         if key.startswith(WORDS):
             self._hear(key.removeprefix(WORDS), value)
@@ -341,12 +281,7 @@
             self.roll = revision
         elif key.startswith(NOW) and not self.writing:   # what we wrote is read when its reply has come
             self.loaded = False
-        self.step(now)
-
-    def missed(self, now):
-        """Changes were missed: all is read anew."""
-        self.loaded = False
-        self.step(now)
+        return True
 
     def _hear(self, member, value):
         """A member's word; None: it has gone."""
--- a/gullhold/revisions/driver.py
+++ b/gullhold/revisions/driver.py
@@ -6,14 +6,14 @@
 
 import time
 
-from gullhold.budgets.driver import OF
-from gullhold.fleet.calls import Read
+from gullhold.budgets.driver import OF, name_of
+from gullhold.budgets.duty import DUTY as BUDGETS
 from gullhold.revisions import change, member, snapshot
 from gullhold.revisions import record as records
 from gullhold.revisions.record import FIRST, Unfit
 
 PLAN = "schedule/"               # before the name of a scheduled command, among duties
-LANES = ("policy", "carrying")   # of calls: neither waits for the other
+LANES = ("words", change.DUTY)   # of calls: neither waits for the other
 MILLION = 1_000_000
 
 
@@ -25,14 +25,13 @@
         self.fleet, self.core, self.deal = fleet, fleet.core, deal
         self.clock, self.record = clock, record.policy
         # Of the operator's files: {name or word: (whole, kept back)}.
-        self.budgets = {f"{item.of}/{item.tenant}" if item.tenant else item.of: (
-            item.whole, item.alone * item.members) for item in record.budgets}
+        self.budgets = {name_of(item): (item.whole, item.alone * item.members) for item in record.budgets}
         self.schedules = [item.name for item in record.schedule]
         door = self.core.door
         self.clients = {name.decode(): weight for name, weight in door.client_weights.items()} if door else {}
         self.gate = member.Gate(fleet.owner.lease, clock, surely_us, self.record.cut)
         self.member = member.Member(fleet.name, self.gate, self.fits, self._figures)
-        self.carrier = change.Carrier(self.fits)
+        fleet.held[change.DUTY] = change.Carrier()
         self.lowest = {}   # wholes while a change is open: neither old nor new parts sum to more than either
         self.given = None
         self.core.checks.append(self.gate)
@@ -68,28 +67,24 @@
     def start(self, follow):
         """follow(name, prefix, what): a watcher of these keys, whose changes come as this event."""
         self.now = follow("policy", change.NOW, "policy_changed")
-        self.words = follow("words", change.ROOT, "words_changed")
+        self.fleet.watchers[change.DUTY] = follow("words", change.ROOT, "duty_changed", change.DUTY)
 
     def step(self, now):
         """Go on with whatever is next."""
         lease = self.fleet.owner.lease
         self.member.step(now, lease.id if lease.held(now) else 0)
-        self.carrier.step(now)
         self.carry()
 
     def due(self, now):
         """When to step() at the latest."""
-        times = [self.carrier.due(now)]
-        if self.member.lease and not self.member.under_way:
-            times.append(max(now + member.AGAIN_US // 4, self.member.again_at))
-        return min(times)
+        return self.member.due(now)
 
     def carry(self):
-        """What member and carrier want done."""
+        """What the member wants done."""
         while out := self.member.take():
             for what, *told in out:
                 if what == member.CALL:
-                    self.fleet.lanes["policy"].put(told[1], "policy_replied", told[0])
+                    self.fleet.lanes["words"].put(told[1], "policy_replied", told[0])
                 elif what == member.ADOPT:
                     self._adopt(*told)
                 elif what == member.STOP:
@@ -99,19 +94,6 @@
                 else:
                     level, text, facts = told
                     self.fleet.event(level, "policy: " + text, **facts)
-        while out := self.carrier.take():
-            for what, *told in out:
-                if what == change.READ:
-                    self.fleet.lanes["carrying"].put(Read(told[1]), "policy_read", told[0])
-                elif what == change.WRITE:
-                    serial, token, acts, when = told
-                    self.fleet.lanes["carrying"].put(self.fleet.owner.effect(change.DUTY, token, acts, when),
-                                                     "policy_written", serial, token)
-                elif what == change.FOLLOW:
-                    self.words.follow(told[0])
-                else:
-                    level, text, facts = told
-                    self.fleet.event(level, "policy: " + text, token=self.carrier.token, **facts)
         self._resize()
 
     def _adopt(self, serial, record):
@@ -157,4 +139,4 @@
             new = records.wholes(records.read(opened.record.text), self.budgets)
             self.lowest = {name: min(whole, new[name], self.lowest.get(name, whole))
                            for name, whole in current.items()}
-        self.fleet.budgets.dividing.resize(self.lowest)   # where it is decided: as it was, until all go by it
+        self.fleet.held[BUDGETS].resize(self.lowest)   # where it is decided: as it was, until all go by it
--- a/gullhold/revisions/member.py
+++ b/gullhold/revisions/member.py
@@ -6,6 +6,7 @@
 """
 
 from gullhold.fleet.calls import DONE, MAYBE, Get, Put, Txn
+from gullhold.fleet.holding import AGAIN_US, IDLE_US
 from gullhold.revisions import record as records
 from gullhold.revisions.change import (
     CANARY,
@@ -35,7 +36,6 @@
 LOOKS = 3        # looks at what stands in the time that one counts
 FIGURES_US = 500_000   # between figures told while a canary runs
 STAND_PART = 3   # of a lease's time, one over this is not used by one that stands: a keeping call was missed
-AGAIN_US = 200_000
 
 
 class Gate:
@@ -102,13 +102,15 @@
             self._become(LEARNING if lease else AWAY)
         if not lease or self.under_way or now < self.again_at:
             return
+        if self.state == ON:
+            self._tell_figures(now)
         if self.state == LEARNING:
             self._call("looked", Txn((), (Get(CURRENT), Get(CHANGE), Get(ROLL))))
         elif self.state == ENROLLING:
             when = ((CURRENT, self.current_at), (CHANGE, self.change_at), (ROLL, self.roll))
             self._call("enrolled", Txn(when, (Put(self.key(), Word(self.record.number).pack(), self.lease),
                                               Put(ROLL, self.name))))
-        elif self.state == ON and self._tell_figures(now) and self.word != self.said:
+        elif self.state == ON and self.word != self.said:
             self._call("told", Txn(((self.key(), self.word_at),), (
                 Put(self.key(), self.word.pack(), self.lease),), (Get(self.key()),)))
             self.said = None   # until its reply is here, it is not known what stands
@@ -117,17 +119,27 @@
         if self.under_way:
             self.sent_at = now
 
-    def _tell_figures(self, now):
-        """While a canary runs all tell how their commands fare; whether there is a word to say."""
+    def due(self, now):
+        """When to step() at the latest."""
+        if not self.lease or self.under_way or self.state == ADOPTING:
+            return now + IDLE_US   # what is waited for comes by itself
+        at = now
+        if self.state == ON and self.word == self.said:
+            at = min(self.look_at, self.tell_at) if self._tells() else self.look_at
+        return max(now, at, self.again_at)
+
+    def _tells(self):
+        """Whether a canary runs, in which all tell how their commands fare."""
         change = self.change
-        if (change and change.state == CANARY and now >= self.tell_at and
-                self.word.about == change.record.number):
+        return bool(change) and change.state == CANARY and self.word.about == change.record.number
+
+    def _tell_figures(self, now):
+        if self._tells() and now >= self.tell_at:
             self.tell_at = now + FIGURES_US
             told = self.figures()
             self.began = self.began or told
             self._say(self.word._replace(figures=tuple(
                 new - old for new, old in zip(told, self.began, strict=True))))
-        return self.word is not None
 
     def _call(self, purpose, request):
         self.serial += 1
--- a/gullhold/standins/changecheck.py
+++ b/gullhold/standins/changecheck.py
@@ -5,34 +5,21 @@
 """
 
 import random
-from bisect import bisect_left
 
-from gullhold.fleet.calls import Grant, Keep, Read, Txn
-from gullhold.fleet.lease import Lease, Terms
+from gullhold.fleet.calls import Grant, Txn
+from gullhold.fleet.lease import Lease
 from gullhold.revisions import change, member
 from gullhold.revisions.record import Record
 from gullhold.standins import walking
 from gullhold.standins.ownercheck import Model
-from gullhold.standins.walking import OF_CALLS, Broken, Calls
+from gullhold.standins.walking import OF_CALLS, QUANTUM_US, RATES, TERMS, Broken, Pair
 
-QUANTUM_US = 250_000
-TERMS = Terms(1, 0.15, 0)
-RATES = (0.87, 1.1, 1.0)
 NAMES = ("a", "b", "c")
-DUTY = "duties/" + change.DUTY
 FAULTS = (*OF_CALLS, "die", "cut", "elect", "miss", "deaf")
 BAD, SOUR, SETTLED = "bad", "sour", 40   # refused by one member; of which commands fail; moments to settle
 PATIENCE_US = 4 * QUANTUM_US
 
 
-class Books(Model):
-    """The register, with the history of policies' keys."""
-
-    def _past(self, key, value):
-        if key.startswith(change.ROOT):
-            self.past.append((self.revision, key, value))
-
-
 class Process:
     """One gateway: clock, lease, decisions, and the number that its core goes by."""
 
@@ -56,7 +43,7 @@
         return self.told, self.failed, self.told
 
 
-class World(Calls):
+class World(Pair):
     """Members, carriers, register, and what is under way. act() takes one of actions(); raises Broken.
 
     make: what to make of "member", "gate", "carrier": the product's, or a mutant's; cut: members' rule.
@@ -65,10 +52,9 @@
     def __init__(self, overlap, faults=6, **make):
         self.make = {"member": member.Member, "gate": member.Gate, "carrier": change.Carrier,
                      "cut": member.KEEP} | make
-        self.overlap, self.faults, self.now, self.model = overlap, faults, 10_000_000, Books()
-        self.carriers = [self.make["carrier"](lambda record: "") for _ in range(2)]
-        self.seen, self.owner, self.proposed = [None, None], 0, 0
-        self.members, self.calls, self.replies, self.ghosts = [], [], [], []
+        super().__init__(Model(change.ROOT), "duties/" + change.DUTY, change.ROOT,
+                         [self.make["carrier"]() for _ in range(2)], faults)
+        self.overlap, self.proposed = overlap, 0
         self.decided_at, self.decided, self.order, self.opened = {0: self.now}, 0, [0], False
         self.tried = {}   # by number: when a canary was last under way, its members
         for name in NAMES:
@@ -80,20 +66,6 @@
         """What is bad is refused by one member alone."""
         return "no such tenant" if record.text == BAD and name == NAMES[1] else ""
 
-    def clock(self, k):
-        """What the clock of carrier k says."""
-        return int(self.now * RATES[k + 1])
-
-    def _collect(self, k):
-        for what, *told in self.carriers[k].take():
-            if what == change.READ:
-                self.calls.append((k, Read(told[1]), ("read", told[0])))
-            elif what == change.WRITE:
-                serial, token, acts, when = told
-                self.calls.append((k, Txn(((DUTY, token), *when), acts), ("written", serial)))
-            elif what == change.FOLLOW:
-                self.seen[k] = max(self.seen[k] or 0, told[0])
-
     def _gather(self, one):
         for what, *told in one.member.take():
             if what == member.CALL:
@@ -112,15 +84,12 @@
     def actions(self):
         """All that may be next."""
         found = [("time",)]
-        found += self.of_calls()
-        found += [("tell", k) for k in range(2) if self._news(self.seen[k], change.ROOT)]
-        found += [("elect", 0), ("miss", self.owner)] if self.faults else []
-        found += [("lost", 1 - self.owner)] if self.carriers[1 - self.owner].token else []
+        found += self.of_calls() + self.of_holders()
         found += [("propose", bad) for bad in ("good", BAD)] if self.may_propose() else []
         for i, one in enumerate(self.members):
             found += [("send", i)] if one.gate() else []
             found += [("core", i)] if one.todo else []
-            found += [("hear", i)] if not one.cut and self._news(one.seen, change.NOW) else []
+            found += [("hear", i)] if not one.cut and self.news(one.seen, change.NOW) else []
             if self.faults:
                 found += [("die", i), ("heal" if one.cut else "cut", i), ("deaf", i)]
             elif one.cut:
@@ -130,17 +99,12 @@
 
     def fair(self):
         """What happens next where nothing is wrong; None: nothing is under way."""
-        if self.calls:
-            return "carry out", 0
-        if self.replies:
-            return "reply", 0
-        for k in range(2):
-            if self._news(self.seen[k], change.ROOT):
-                return "tell", k
+        if todo := super().fair():
+            return todo
         for i, one in enumerate(self.members):
             if one.todo:
                 return "core", i
-            if not one.cut and self._news(one.seen, change.NOW):
+            if not one.cut and self.news(one.seen, change.NOW):
                 return "hear", i
         return None
 
@@ -148,13 +112,6 @@
         """One change is open at a time."""
         return change.CHANGE not in self.model.keys
 
-    def _news(self, since, prefix):
-        if since is None:
-            return []
-        past = self.model.past
-        return [row for row in past[bisect_left(past, since, key=lambda row: row[0]):]
-                if row[1].startswith(prefix)]
-
     def act(self, what, i=0):
         """Do one thing; raises Broken."""
         self.faults -= what in FAULTS
@@ -184,20 +141,13 @@
     def _do_time(self, _):
         self.now += QUANTUM_US
         for one in self.members:
-            if not one.cut and one.lease.held(one()):
-                reply = self.model.call(Keep(one.lease.id), self.now)
-                if reply.ttl_s:
-                    one.lease.kept(one.lease.id, one())
-            if one.lease.id and not one.lease.held(one()):
-                one.lease.lost()
-            if not one.lease.id and not one.cut:
-                one.lease.kept(self.model.call(Grant(TERMS.ttl_s), self.now).lease, one())
-                one.seen = None
+            self._keep(one)
             self._step(one)
-        self.model.expire(self.now)
-        for k in range(2):
-            self.carriers[k].step(self.clock(k))
-            self._collect(k)
+        self._step_holders()
+
+    def _grant(self, one):
+        one.lease.kept(self.model.call(Grant(TERMS.ttl_s), self.now).lease, one())
+        one.seen = None
 
     def _do_reply(self, i):
         who, (what, *told), reply = self.replies.pop(i)
@@ -206,19 +156,11 @@
                 who.member.replied(who(), *told, reply)
                 self._gather(who)
         else:
-            getattr(self.carriers[who], what)(self.clock(who), *told, reply)
-            self._collect(who)
-
-    def _do_tell(self, k):
-        news = self._news(self.seen[k], change.ROOT)
-        self.seen[k] = news[0][0] + 1
-        for revision, key, value in [row for row in news if row[0] == news[0][0]]:
-            self.carriers[k].changed(self.clock(k), key, value, revision)
-            self._collect(k)
+            self._held(who, what, *told, reply)
 
     def _do_hear(self, i):
         one = self.members[i]
-        news = self._news(one.seen, change.NOW)
+        news = self.news(one.seen, change.NOW)
         one.seen = news[0][0] + 1
         for revision, key, value in [row for row in news if row[0] == news[0][0]]:
             one.member.changed(one(), key, value, revision)
@@ -233,10 +175,6 @@
         getattr(one.member, what)(one(), number)
         self._gather(one)
 
-    def _do_miss(self, k):
-        self.carriers[k].missed(self.clock(k))
-        self._collect(k)
-
     def _do_deaf(self, i):
         """Its watch lost what changed."""
         one = self.members[i]
@@ -244,16 +182,6 @@
         one.member.missed(one())
         self._gather(one)
 
-    def _do_elect(self, _):
-        self.model.revision += 1
-        self.model.put(DUTY, "", 0)
-        self.owner = 1 - self.owner
-        self.carriers[self.owner].won(self.model.revision, self.clock(self.owner))
-        self._collect(self.owner)
-
-    def _do_lost(self, k):
-        self.carriers[k].lost()
-
     def _do_propose(self, text):
         items = {key: item.value for key, item in self.model.keys.items()}
         revisions = {key: item.revision for key, item in self.model.keys.items()}
@@ -281,16 +209,10 @@
         if late > TERMS.ttl_s * 1_000_000:   # the stated overlap
             raise Broken(f"{one.name} sends under {one.number} {late} us after it was over")
 
-    def _do_cut(self, i):
-        self.members[i].cut = True
-
-    def _do_heal(self, i):
-        self.members[i].cut = False
-
     def _do_come(self, name):
         one = Process(self, name, RATES[NAMES.index(name)])
         self.members.append(one)
-        one.lease.kept(self.model.call(Grant(TERMS.ttl_s), self.now).lease, one())
+        self._grant(one)
         self._step(one)
 
     def _do_die(self, i):
@@ -313,12 +235,12 @@
                 tuple((tag[0], reply.proof, reply.met) for _, tag, reply in self.replies),
                 tuple(map(str, self.ghosts)), tuple(self.seen), self.owner, self.faults,
                 tuple((k.token, k.loaded, bool(k.reading), bool(k.writing), k.roll, k.change_at, len(k.words))
-                      for k in self.carriers))
+                      for k in self.holders))
 
     def calm(self):
         """No more faults: all is carried out in turn, who is missing comes, one carries."""
         self.faults, self.ghosts = 0, []
-        self.carriers[1 - self.owner].lost()
+        self.holders[1 - self.owner].lost()
         for one in self.members:
             one.cut = False
         for name in NAMES:
@@ -326,11 +248,7 @@
                 self.act("come", name)
         for _ in range(SETTLED):
             self.act("time")
-            for _ in range(80):
-                todo = self.fair()
-                if not todo:
-                    break
-                self.act(*todo)
+            self.quiet(80)
 
     def settled(self):
         """Raises Broken unless everybody goes by what is in force, and no change is left open."""
@@ -359,16 +277,9 @@
                 break
             broken = world.calls and world.faults and draw() < 0.05
             yield (OF_CALLS[int(draw() * 3)], int(draw() * len(world.calls))) if broken else todo
-        actions = world.actions()
-        for kind, chance in (("come", 0.5), ("heal", 0.2), ("late", 0.2), ("lost", 0.1)):
-            some = [action for action in actions if action[0] == kind]
-            if some and draw() < chance:
-                yield some[int(draw() * len(some))]
-                break
-        else:
-            odd = [action for action in actions if action[0] in ("die", "cut", "elect", "miss", "deaf")]
-            if odd and draw() < 0.25:
-                yield odd[int(draw() * len(odd))]
+        yield from walking.now_and_then(
+            world, draw, (("come", 0.5), ("heal", 0.2), ("late", 0.2), ("lost", 0.1)),
+            ("die", "cut", "elect", "miss", "deaf"), 0.25)
 
 
 def walk(seed, steps, faults=10, marks=False, **make):
--- a/gullhold/standins/dividecheck.py
+++ b/gullhold/standins/dividecheck.py
@@ -6,37 +6,23 @@
 """
 
 import random
-from bisect import bisect_left, bisect_right
 
 from gullhold.budgets import duty
 from gullhold.budgets.divider import Budget, Divider
 from gullhold.budgets.ledger import HELD, WINDOWED
 from gullhold.budgets.purse import Purses, Rule
-from gullhold.fleet.calls import DONE, Grant, Keep, Put, Read, Txn
-from gullhold.fleet.lease import Lease, Terms
+from gullhold.fleet.calls import DONE, Grant, Put, Txn
+from gullhold.fleet.lease import Lease
 from gullhold.standins import walking
 from gullhold.standins.ownercheck import Model
-from gullhold.standins.walking import OF_CALLS, Broken, Calls
+from gullhold.standins.walking import OF_CALLS, QUANTUM_US, RATES, TERMS, Broken, Pair
 
-QUANTUM_US = 250_000        # between moments: a lease is four of them
-TERMS = Terms(1, 0.15, 0)
-RATES = (0.87, 1.1, 1.0)    # of clocks against the register's: within the drift
 WINDOW_US, LINGER_US = 1_600_000, 1_100_000   # of real time: no whole number of moments
 WHOLE, ALONE, NAMES = 10, 1, ("a", "b", "c")
-NAME = "b/0"                # the one budget
-DUTY = "duties/budgets"
 FAULTS = (*OF_CALLS, "die", "cut", "elect", "miss", "leave")
 SETTLED = 30                # moments in which a fleet without faults has to have divided all
 
 
-class Books(Model):
-    """The register, with the history of budgets' keys."""
-
-    def _past(self, key, value):
-        if key.startswith(duty.ROOT):
-            self.past.append((self.revision, key, value))
-
-
 class Member:
     """One process: its clock, lease and purse, and what it knows of its own report."""
 
@@ -55,7 +41,7 @@
         return f"{self.name}/{self.lease.id:x}"
 
 
-class World(Calls):
+class World(Pair):
     """Members, dividers, register, and what is under way. act() takes one of actions(); raises Broken.
 
     make: what to make of "purses", "dividing", "divider": the product's, or a mutant's.
@@ -65,24 +51,19 @@
         self.make = {"purses": Purses, "dividing": duty.Dividing, "divider": Divider, "compared": True,
                      "alone_after": LINGER_US, "lengthen": 1 + TERMS.drift} | make
         longer = self.make["lengthen"]
-        self.kind, self.faults, self.now, self.model = kind, faults, 10_000_000, Books()
+        self.kind = kind
         self.rule = Rule(kind, WHOLE, int(WINDOW_US * longer), 0, ALONE,
                          int(max(self.make["alone_after"], WINDOW_US * (kind == WINDOWED)) * longer)
                          if self.make["alone_after"] else 0)
         budget = Budget(kind, WHOLE, int(WINDOW_US * longer), int(LINGER_US * longer), ALONE, len(NAMES))
-        self.dividers = [self.make["dividing"]({"b": budget}, make=self.make["divider"]) for _ in range(2)]
-        self.seen, self.owner = [None, None], 0
-        self.members, self.calls, self.replies, self.ghosts = [], [], [], []
+        super().__init__(Model(duty.ROOT), "duties/" + duty.DUTY, duty.ASKS, [
+            self.make["dividing"]({"b": budget}, make=self.make["divider"]) for _ in range(2)], faults)
         self.spent, self.lingering, self.still = [], [], False   # still: demand changes no more
         for name in NAMES:
-            self.join(name)
-        self.elect()
+            self._do_come(name)
+        self._do_elect(0)
 
-    def clock(self, k):
-        """What the clock of divider k says."""
-        return int(self.now * RATES[k + 1])
-
-    def join(self, name):
+    def _do_come(self, name):
         """A process begins, and has a lease."""
         member = Member(self, name, RATES[len(self.members) % 3])
         self.members.append(member)
@@ -94,24 +75,6 @@
         member.purses.fresh(member.lease.id)
         self._report(member)
 
-    def elect(self):
-        """The other one owns the duty now; who owned it does not know yet."""
-        self.model.revision += 1
-        self.model.put(DUTY, "", 0)
-        self.owner = 1 - self.owner
-        self.dividers[self.owner].won(self.model.revision, self.clock(self.owner))
-        self._collect(self.owner)
-
-    def _collect(self, k):
-        for what, *told in self.dividers[k].take():
-            if what == duty.READ:
-                self.calls.append((k, Read(told[1]), ("read", told[0])))
-            elif what == duty.WRITE:
-                serial, token, acts, when = told
-                self.calls.append((k, Txn(((DUTY, token), *when), acts), ("written", serial)))
-            elif what == duty.FOLLOW:
-                self.seen[k] = max(self.seen[k] or 0, told[0])
-
     def _report(self, member, left=False):
         told = member.purses.report(((0, 0, member.want),))
         key = duty.ASKS + member.key()
@@ -123,11 +86,7 @@
     def actions(self):
         """All that may be next."""
         found = [("time",)]
-        found += self.of_calls()
-        found += [("tell", k) for k in range(2) if self._news(k)]
-        found += [("elect",), ("miss", self.owner)] if self.faults else []
-        if self.dividers[1 - self.owner].token:
-            found.append(("lost", 1 - self.owner))
+        found += self.of_calls() + self.of_holders()
         for i, member in enumerate(self.members):
             found += [("spend", i)] if member.purse.may(1) else []
             found += [("end", i)] if member.running else []
@@ -142,31 +101,16 @@
 
     def fair(self):
         """What happens next where nothing is wrong; None: nothing is under way."""
-        if self.calls:
-            return "carry out", 0
-        if self.replies:
-            return "reply", 0
-        for k in range(2):
-            if self._news(k):
-                return "tell", k
-        return next((("hear", i) for i, one in enumerate(self.members)
-                     if not one.cut and self._rows(one)), None)
+        return super().fair() or next((("hear", i) for i, one in enumerate(self.members)
+                                       if not one.cut and self._rows(one)), None)
 
     def may_report(self, member):
         """One report of a member is under way at a time."""
         return member.lease.held(member()) and not any(who is member for who, *_ in self.calls)
 
-    def _news(self, k):
-        if self.seen[k] is None:
-            return []
-        past = self.model.past
-        return [row for row in past[bisect_left(past, self.seen[k], key=lambda row: row[0]):]
-                if row[1].startswith(duty.ASKS)]
-
     def _rows(self, member):
-        key, past = duty.PARTS + member.key(), self.model.past
-        later = past[bisect_right(past, member.heard, key=lambda row: row[0]):]
-        return [row for row in later if row[1] == key]
+        key = duty.PARTS + member.key()
+        return [row for row in self.news(member.heard + 1, key) if row[1] == key]
 
     def act(self, what, i=0):
         """Do one thing; raises Broken."""
@@ -177,33 +121,19 @@
     def _do_time(self, _):
         self.now += QUANTUM_US
         for member in self.members:
-            if not member.cut and member.lease.held(member()):
-                reply = self.model.call(Keep(member.lease.id), self.now)
-                if reply.ttl_s:
-                    member.lease.kept(member.lease.id, member())
-            if member.lease.id and not member.lease.held(member()):
-                member.lease.lost()
-            if not member.lease.id and not member.cut:
-                self._grant(member)
+            self._keep(member)
             while member.running and member.running[0] <= self.now - LINGER_US:   # nothing runs longer
                 member.running.pop(0)
                 member.purse.over(1)
-        self.model.expire(self.now)
-        for k in range(2):
-            self.dividers[k].step(self.clock(k))
-            self._collect(k)
+        self._step_holders()
 
     def _do_reply(self, i):
         who, (what, *told), reply = self.replies.pop(i)
         if what == "reported":
             if who in self.members and told[0] == duty.ASKS + who.key():
                 self._reported(who, reply)
-        elif what == "read":
-            self.dividers[who].read(self.clock(who), *told, reply)
-            self._collect(who)
         else:
-            self.dividers[who].written(self.clock(who), *told, reply)
-            self._collect(who)
+            self._held(who, what, *told, reply)
 
     def _reported(self, member, reply):
         if reply.proof == DONE and reply.met:
@@ -213,25 +143,6 @@
             member.asked_revision = item.revision if item else 0
             self._report(member)
 
-    def _do_tell(self, k):
-        revision, key, value = self._news(k)[0]
-        self.seen[k] = revision + 1 if not any(row[0] == revision for row in self._news(k)[1:]) else revision
-        rows = [row for row in self._news(k) if row[0] == revision] if self.seen[k] == revision else []
-        self.seen[k] = revision + 1
-        for _, one, told in rows or [(revision, key, value)]:
-            self.dividers[k].changed(self.clock(k), one, told, revision)
-            self._collect(k)
-
-    def _do_miss(self, k):
-        self.dividers[k].missed(self.clock(k))
-        self._collect(k)
-
-    def _do_elect(self, _):
-        self.elect()
-
-    def _do_lost(self, k):
-        self.dividers[k].lost()
-
     def _do_spend(self, i):
         purse = self.members[i].purse
         while purse.may(1):
@@ -258,15 +169,6 @@
         member.want = 3 if self.still else (0, 4, WHOLE)[(self.now // QUANTUM_US + i) % 3]
         self._report(member)
 
-    def _do_cut(self, i):
-        self.members[i].cut = True
-
-    def _do_heal(self, i):
-        self.members[i].cut = False
-
-    def _do_come(self, name):
-        self.join(name)
-
     def _do_die(self, i):
         """What it began goes on for as long as it may."""
         member = self.members.pop(i)
@@ -304,14 +206,14 @@
                 tuple((tag, str(request)) for _, request, tag in self.calls),
                 tuple((tag, reply.proof, reply.met) for _, tag, reply in self.replies),
                 tuple(map(str, self.ghosts)), tuple(self.seen), self.owner, self.faults,
-                tuple((k.token, k.loaded, k.fence, k.reading, k.writing) for k in self.dividers),
+                tuple((k.token, k.loaded, k.fence, k.reading, k.writing) for k in self.holders),
                 tuple(at - self.now for at in self.spent),
                 tuple((at - self.now, n) for at, n in self.lingering))
 
     def calm(self):
         """No more faults: all is carried out in turn, everybody reports, and one owner divides."""
         self.faults, self.ghosts, self.still = 0, [], True
-        self.dividers[1 - self.owner].lost()
+        self.holders[1 - self.owner].lost()
         for one in self.members:
             one.cut = False
         for _ in range(SETTLED):
@@ -324,11 +226,7 @@
             for name in NAMES:
                 if name not in [one.name for one in self.members]:
                     self.act("come", name)
-            for _ in range(60):
-                todo = self.fair()
-                if not todo:
-                    break
-                self.act(*todo)
+            self.quiet(60)
 
     def settled(self):
         """Raises Broken unless all that may be divided is divided among those who live."""
@@ -337,7 +235,6 @@
             raise Broken(f"{parts} are divided though nothing is wrong any more")
 
 
-
 def rounds(world, draw):
     """Moment after moment, for ever: some report, most of what is under way is carried out, most spend, and
     now and then something breaks. What was held back comes some moments later."""
@@ -359,16 +256,9 @@
             todo = world.fair()
             if todo and draw() < chance:
                 yield todo
-        actions = world.actions()
-        for kind, chance in (("end", 0.4), ("come", 0.4), ("heal", 0.1), ("late", 0.15), ("lost", 0.1)):
-            some = [action for action in actions if action[0] == kind]
-            if some and draw() < chance:
-                yield some[int(draw() * len(some))]
-                break
-        else:
-            odd = [action for action in actions if action[0] in ("die", "cut", "elect", "miss", "leave")]
-            if odd and draw() < 0.2:
-                yield odd[int(draw() * len(odd))]
+        yield from walking.now_and_then(
+            world, draw, (("end", 0.4), ("come", 0.4), ("heal", 0.1), ("late", 0.15), ("lost", 0.1)),
+            ("die", "cut", "elect", "miss", "leave"), 0.2)
 
 
 def walk(seed, steps, faults=10, marks=False, **make):
--- a/gullhold/standins/ownercheck.py
+++ b/gullhold/standins/ownercheck.py
@@ -24,12 +24,9 @@
     Reply,
     Revoke,
 )
-from gullhold.fleet.lease import Terms
 from gullhold.standins import walking
-from gullhold.standins.walking import Broken
+from gullhold.standins.walking import QUANTUM_US, TERMS, Broken
 
-QUANTUM_US = 250_000     # between moments: a lease is four of them
-TERMS = Terms(1, 0.15, 0)
 RATES = (0.87, 1.0, 1.1)       # of members' clocks against the register's: within the drift of 0.15
 # Of these a owns the first alone, and c the second until b comes.
 DUTIES, NAMES, COMES = ("d0", "d5"), ("a", "c"), "b"
@@ -39,9 +36,10 @@
 
 
 class Model:
-    """The register: keys with revisions, leases, the history of members' keys."""
+    """The register: keys with revisions, leases, the history of keys with a prefix."""
 
-    def __init__(self):
+    def __init__(self, prefix=owner.MEMBERS):
+        self.prefix = prefix
         self.revision, self.serial, self.keys, self.leases, self.past = 1, 0, {}, {}, []
         self.accepted = {}   # effects: the highest token of each duty
 
@@ -54,7 +52,7 @@
             self._past(key, None)
 
     def _past(self, key, value):
-        if key.startswith(owner.MEMBERS):
+        if key.startswith(self.prefix):
             self.past.append((self.revision, key, value))
 
     def end(self, lease):
@@ -421,16 +419,6 @@
     What it met is returned: marks of states.
     """
     draw = random.Random(seed).random
-    world, story, met = fleet(make, faults=faults), [], set()
+    world = fleet(make, faults=faults)
     manner = MANNERS[seed % len(MANNERS)](draw)
-    try:
-        for _ in range(steps):
-            action = manner.choose(world)
-            story.append(action)
-            world.act(*action)
-            met.add(hash(world.mark()))
-        world.calm()
-        world.settled()
-    except Broken as fault:
-        raise Broken(f"seed {seed}: {fault}; after {story}") from None
-    return met
+    return walking.follow(world, iter(lambda: manner.choose(world), None), steps, seed, marks=True)
--- a/tests/test_revisions.py
+++ b/tests/test_revisions.py
@@ -9,6 +9,7 @@
 from gullhold.budgets import duty
 from gullhold.budgets.divider import Budget
 from gullhold.fleet.calls import DONE, Item, Reply
+from gullhold.fleet.holding import AGAIN_US, IDLE_US, WRITE
 from gullhold.revisions import change, record
 from gullhold.revisions.record import FIRST, Policy, Record, Unfit
 from gullhold.standins import changecheck, changemutants, dividecheck, dividemutants
@@ -147,7 +148,7 @@
 
 
 def test_a_canary_that_is_slower_than_the_others_is_out_of_its_bounds():
-    carrier = change.Carrier(lambda record: "")
+    carrier = change.Carrier()
     opened = change.Open(Record(1, 0, "", "", 0, "policy: {}").sealed(), change.CANARY, trial=("a/1",),
                          canary=change.Canary(0.5, 1000, 0.1, 1.5))
     carrier.change = opened
@@ -166,9 +167,31 @@
         change.propose(opened.record, {}, {}, overlap=change.STRICT, canary=opened.canary)
 
 
+def test_a_change_that_waits_longer_than_its_time_waits_for_words_and_does_not_spin():
+    opened = change.Open(Record(1, 0, "", "", 0, "policy: {}").sealed(), change.CHECKED, silence=change.WAIT,
+                         patience_us=1000)
+    carrier = change.Carrier()
+    carrier.won(1, 0)
+    carrier.read(0, carrier.take()[0][1], Reply(DONE, 7, items=(
+        Item(change.CHANGE, opened.pack(), 5), Item(change.WORDS + "a/1", change.Word(0).pack(), 6))))
+    assert carrier.due(0) == 1000 and carrier.due(999) == 1000
+    carrier.step(1000)
+    assert not any(row[0] == WRITE for row in carrier.take()) and carrier.due(1000) == 1000 + IDLE_US
+
+
+def test_a_member_with_nothing_to_say_steps_when_it_looks_again():
+    world = changecheck.World(change.LOOSE, faults=0)
+    world.calm()
+    for one in world.members:
+        now = one()
+        assert one.member.due(now) == max(now, one.member.look_at)
+        one.member.missed(now)
+        assert one.member.due(now) == now + IDLE_US   # its call is under way
+
+
 def test_a_read_from_the_past_is_not_believed_by_whoever_carries_or_divides():
     opened = change.Open(Record(1, 0, "", "", 0, "policy: {}").sealed())
-    carrier, dividing = change.Carrier(lambda record: ""), duty.Dividing({"b": Budget("held", 5)})
+    carrier, dividing = change.Carrier(), duty.Dividing({"b": Budget("held", 5)})
     for one in (carrier, dividing):
         one.won(1, 0)
         one.read(0, one.take()[0][1], Reply(DONE, 7))
@@ -181,11 +204,11 @@
         serial = one.take()[-1][1]
         one.read(0, serial, Reply(DONE, 7))
         assert not one.loaded and not one.take()
-        one.step(change.AGAIN_US)
-        one.read(change.AGAIN_US, one.take()[0][1], Reply(DONE, 11, items=(
+        one.step(AGAIN_US)
+        one.read(AGAIN_US, one.take()[0][1], Reply(DONE, 11, items=(
             Item(change.CHANGE, opened.pack(), 9),) if one is carrier else ()))
         assert one.loaded
-    assert any(row[0] == change.WRITE for row in carrier.take())
+    assert any(row[0] == WRITE for row in carrier.take())
 
 
 @settings(derandomize=True, max_examples=40, deadline=None)
