--- a/tests/test_fleet_budgets.py
+++ b/tests/test_fleet_budgets.py
@@ -81,7 +81,7 @@
 def test_one_that_is_stopped_with_half_and_woken_after_its_part_was_given_away_begins_nothing():
     with rig(2) as fleet:
         fleet.start()
-        # Longer ones: of many short ones one may be stopped between its last look and its write, which nothing
+        # Longer ones: of many short ones one may be stopped between last look and write, which nothing
         # here can refuse (docs/notes/budgets.md).
         clients = [client(fleet, name, work_ms=150.0) for name in ("n0", "n1")]
         fleet.until(lambda: parts(fleet) == {"n0": 6, "n1": 6})
