--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -30,6 +30,7 @@
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 LOG_S = 0.2          # at the end, for lines still unwritten
 FLEET_S = 1.0        # at the end, for what came of the fleet's own commands: a few calls of the register
+LOG_LINE_MOST = 240  # characters of a line of counters: what reads logs may cut lines at 300
 ROOM_PART = 8        # of the memory, for statements that wait, and as much for answers that are not read
 OWN_SOCKETS = 16     # descriptors beside clients and links: standard ones, listener, coordinator, spare
 
@@ -175,8 +176,10 @@
     core_thread = Thread(target=run_core, name="core", daemon=True)
 
     def report():
-        logger.info("counters: {}", "; ".join([f"up {time.monotonic() - began:.1f} s",
-                    f"CPU {time.process_time():.2f} s", *resident(), *core.counters.lines()]))
+        parts = [f"up {time.monotonic() - began:.1f} s", f"CPU {time.process_time():.2f} s", *resident(),
+                 *core.counters.lines()]
+        for place, line in enumerate(joined(parts, LOG_LINE_MOST)):
+            logger.info("{} {}", "counters, continued:" if place else "counters:", line)
 
     coordinator = runs["coordinator"].__self__
     reread = Reread(path, seen, coordinator)
@@ -255,6 +258,21 @@
     return 0 if good else 1
 
 
+def joined(parts, most):
+    """These parts in as few lines of at most so many characters as they fill, in order; no part is cut.
+
+    Guards against readers of logs that cut long lines: two thirds of an incident's counters were lost.
+    """
+    line = ""
+    for part in parts:
+        if line and len(line) + len(part) + 2 > most:
+            yield line
+            line = ""
+        line = f"{line}; {part}" if line else part
+    if line:
+        yield line
+
+
 def resident():
     """Memory, threads and descriptors of this process, as the system tells them."""
     try:
--- /dev/null
+++ b/tests/faults/test_refusals.py
@@ -0,0 +1,39 @@
+"""What the system refuses for a moment (threads, descriptors, buffers) is asked for again, at no cost."""
+
+import signal
+
+import pytest
+from serving import PATIENCE, until
+
+from faults.plan import Plan
+from faults.traffic import Played
+
+
+def test_requests_are_answered_where_threads_are_refused_and_writes_are_short(tmp_path):
+    """A connection whose writer thread was refused was never written to again, and the event failed."""
+    plan = Plan(tmp_path)
+    with Played(tmp_path, plan) as played:
+        plan.set("thread", 300, "EAGAIN")
+        plan.set("send", 1000, most=39)
+        played.ask(6, limit_ms=4000)
+        breaks = played.play(3.0)
+        assert plan.hits("thread") > 10 and played.record.counts["answered"] > 100
+        assert not breaks and "Traceback" not in played.text()
+
+
+@pytest.mark.parametrize(("call", "error"), [
+    ("thread", "EAGAIN"), ("socket", "ENFILE"), ("socket", "ENOBUFS"), ("poll", "ENOMEM"),
+])
+def test_a_process_starts_where_the_system_refuses_for_a_moment(tmp_path, call, error):
+    """Its first threads and its listener were asked for once: it ended, or lived on without a part of it."""
+    plan = Plan(tmp_path)
+    plan.set(call, 1000, error)
+    played = Played(tmp_path, plan)
+    with played.started():
+        until(lambda: plan.hits(call) or played.process.poll() is not None)
+        plan.clear()
+        until(played.serves)
+        played.ask(2)
+        assert not played.play(0.5) and played.record.counts["answered"] > 4
+        played.process.send_signal(signal.SIGTERM)
+        assert played.process.wait(PATIENCE) == 0
