A descriptor is closed by its one reader; no thread is started for a write; starts are patient

Cause, class A: Pipe._die closed a descriptor under a writer thread that had read its number and not yet made the call (pipe.py, _drain and _die), so the rest of a statement went to whatever connection got the number next; Link.shut, Client.dismiss and Coordinator.move used numbers beside the thread that closed them. Class B: a refusal of the system for a moment was taken for the last word: the writer thread in Pipe._write (its connection was never written to again, the event failed), the first threads, the listener's socket and the main thread's wait at the start. Class C: listener, coordinator, core and main thread ended by an exception that they did not expect, in a process that looked alive. Change: Connection (net/connection.py): one reader blocks and closes, all others make calls that do not block, under its lock; used by clients, links and the coordinator's stream. Flusher (net/flusher.py): one thread writes on for all connections, so none is started in a write. net/startup.py: threads, pipes and the listener's socket are asked for again for a while. Long-lived threads log what they did not expect and go on. ENOBUFS and ENOMEM of a send are waited out. Also: ETIMEDOUT on an open connection is an end like a reset; connects that fail for what this machine lacks are tried again and blame no engine; no descriptor or thread for a link likewise; the deadline of a fetch is encoded as its first byte goes out; a client that leaves in a pause is seen at once, also behind bytes that are not read (the flood's test shows it; what is over is turned away).

--- a/gullhold/fleet/driver.py
+++ b/gullhold/fleet/driver.py
@@ -7,7 +7,7 @@
 import random
 import time
 from queue import Empty, SimpleQueue
-from threading import Event, Thread
+from threading import Event
 
 from loguru import logger
 
@@ -23,6 +23,7 @@
 from gullhold.fleet.register import Register
 from gullhold.fleet.watch import Watcher
 from gullhold.net.front import Reader
+from gullhold.net.startup import start_thread
 from gullhold.revisions.change import DUTY as CARRIES
 from gullhold.revisions.driver import LANES as POLICY_LANES
 from gullhold.revisions.driver import Policies
@@ -54,7 +55,7 @@
 
     def __init__(self, name, make, tell):
         self.make, self.tell, self.queue = make, tell, SimpleQueue()
-        Thread(target=self._run, name=f"fleet {name}", daemon=True).start()
+        start_thread(self._run, f"fleet {name}")
 
     def put(self, request, *tag):
         """From the deciding thread: carry it out; tell(*tag, reply) follows."""
@@ -169,7 +170,7 @@
         for part in (self.budgets, self.policies):
             if part:
                 part.start(self._watcher)
-        Thread(target=self._run, name="fleet", daemon=True).start()
+        start_thread(self._run, "fleet")
 
     def _watcher(self, name, prefix, what, *of):
         """Changes of these keys come as this event; where some were missed, as `missed` with its name."""
--- a/gullhold/fleet/watch.py
+++ b/gullhold/fleet/watch.py
@@ -2,11 +2,11 @@
 
 import time
 from queue import SimpleQueue
-from threading import Thread
 
 import requests
 
 from gullhold.fleet.lease import MILLION
+from gullhold.net.startup import start_thread
 
 
 class Watcher:
@@ -19,7 +19,7 @@
     def __init__(self, name, make, prefix, quiet_s, pauses, tell, missed):
         self.make, self.prefix, self.quiet_s, self.pauses = make, prefix, quiet_s, pauses
         self.tell, self.missed, self.where = tell, missed, SimpleQueue()
-        Thread(target=self._run, name=f"fleet watch {name}", daemon=True).start()
+        start_thread(self._run, f"fleet watch {name}")
 
     def follow(self, revision):
         """From any thread: from this revision on; one that follows already goes on."""
--- /dev/null
+++ b/gullhold/net/connection.py
@@ -0,0 +1,67 @@
+"""A socket that several threads use, and the one rule by which its descriptor is given back.
+
+One thread, the reader, makes the calls that may block, and it alone closes. All other threads make calls that
+do not block, with the lock held that closing takes as well. So no thread can be about to use the number of a
+descriptor that has been closed: the system gives that number to the next connection that comes up.
+"""
+
+import errno
+import select
+import socket
+from contextlib import suppress
+from threading import Lock
+
+# What a send may end with for a moment, on a connection that is well: socket(7), send(2).
+MOMENTARY = frozenset((errno.EAGAIN, errno.EINTR, errno.ENOBUFS, errno.ENOMEM))
+
+
+class Connection:
+    """One TCP connection. close() is the reader's alone; everything else may be called from any thread."""
+
+    def __init__(self, sock):
+        self.sock, self.lock, self.closed = sock, Lock(), False
+
+    def fileno(self):
+        """Its descriptor's number for a wait, or -1; by the time it is used it may be another's."""
+        with self.lock:
+            return -1 if self.closed else self.sock.fileno()
+
+    def send(self, data):
+        """Hand bytes to the system without waiting; how many it took. OSError where the connection ended."""
+        with self.lock:
+            if self.closed:
+                raise BrokenPipeError("the connection is closed")
+            try:
+                return self.sock.send(data, socket.MSG_DONTWAIT)
+            except OSError as error:
+                if error.errno in MOMENTARY:
+                    return 0
+                raise
+
+    def shutdown(self, how=socket.SHUT_RDWR):
+        """End one side or both; a reader that waits comes back. Nothing where it has ended already."""
+        with self.lock, suppress(OSError):
+            if not self.closed:
+                self.sock.shutdown(how)
+
+    def readable(self):
+        """Whether something is there to be read, or the end."""
+        with self.lock:
+            if self.closed:
+                return False
+            look = select.poll()
+            look.register(self.sock, select.POLLIN)
+            return bool(look.poll(0))
+
+    def left(self, wait_s):
+        """From the reader: whether the other side has ended, or does so in this time, unread bytes or not."""
+        look = select.poll()
+        look.register(self.sock, select.POLLRDHUP)
+        return bool(look.poll(wait_s * 1000))
+
+    def close(self):
+        """From the reader alone: give the descriptor back; a second call does nothing."""
+        with self.lock:
+            if not self.closed:
+                self.closed = True
+                self.sock.close()
--- a/gullhold/net/coordinator.py
+++ b/gullhold/net/coordinator.py
@@ -4,7 +4,7 @@
 import select
 import socket
 import time
-from contextlib import suppress
+from contextlib import closing
 from threading import Event
 from zlib import crc32
 
@@ -14,10 +14,12 @@
 from gullhold.agreement import place_of
 from gullhold.net import endings, host_port
 from gullhold.net.buffer import Buffer
+from gullhold.net.connection import Connection
 from gullhold.net.endings import Ending, Malformed
 
 STATES = {"ready": api.READY, "draining": api.DRAINING, "gone": api.GONE}
 FIRST_WORD_US = 100_000   # us in which news is told that there is: twice the page's time for crossings
+FAULT_WAIT_S = 0.1   # s until the stream is followed anew after a fault of ours
 SILENT_US = 2_000_000   # two of the seconds' numbers, which come once a second by the protocol
 
 
@@ -103,7 +105,7 @@
 
     def __init__(self, address, last, core, most, names):
         self.last, self.core, self.most, self.names = last, core, most, names
-        self.address, self.sock, self.moved = address and host_port(address), None, Event()
+        self.address, self.connection, self.moved = address and host_port(address), None, Event()
         self.taking = False   # bytes came, and what they tell is not handed on yet
         self.lost = lambda: None   # called from this thread whenever the stream has ended: a look for a move
         self.may_call = lambda: True   # whether the service may be called now: a budget of the fleet's
@@ -112,16 +114,15 @@
         """From any thread: follow the stream at this address, on from the last event."""
         self.address = host_port(address)
         self.moved.set()
-        sock = self.sock   # one that comes up after this line sees the new address itself
-        if sock is not None:
-            with suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+        connection = self.connection   # one that comes up after this line sees the new address itself
+        if connection is not None:
+            connection.shutdown()
 
     def behind(self):
         """From any thread: whether something has come that the core was not told of yet."""
         try:
-            sock = self.sock
-            return bool(sock and came(sock, 0)) or self.taking   # in this order: bytes there, or in hand
+            connection = self.connection   # in this order: bytes there, or in hand
+            return bool(connection and connection.readable()) or self.taking
         except (OSError, ValueError):   # it ends just now
             return False
 
@@ -129,31 +130,40 @@
         """Connect, follow, and again whenever the stream ends, falls silent, makes no sense or moves."""
         wait = self.core.deal.connect_us / 1e6
         while True:
-            began = time.monotonic()
-            self.moved.clear()
-            address = self.address   # read after the clearing: a move from here on sets it again
-            if address is None:
-                self.core.listed.set()
-                self.moved.wait()
-                continue
-            if not self.may_call():
-                self.moved.wait(wait)
-                continue
             try:
-                ending, text = self._follow(address, wait), ""
-            except TimeoutError:
-                ending, text = Ending.SILENT, ""
-            except Exception as error:   # the old list holds; the stream is followed anew
-                ending, text = endings.caught(error, connecting=True)
-            self.core.listed.set()   # it can't be asked: the list that we have must do
-            self.core.counters.add(f"coordinator: {ending.value}")
-            logger.warning("coordinator: {} {}; following on from event {}", ending.value, text, self.last)
-            self.lost()
-            self.moved.wait(max(0.0, wait - (time.monotonic() - began)))
+                self._turn(wait)
+            except Exception:   # guards against a list that is followed no more in a process that looks alive
+                self.core.counters.add("faults of ours")
+                logger.exception("following the list failed, and begins anew")
+                time.sleep(FAULT_WAIT_S)
+
+    def _turn(self, wait):
+        """Follow the stream until it ends, and a pause; or wait until it may be followed."""
+        began = time.monotonic()
+        self.moved.clear()
+        address = self.address   # read after the clearing: a move from here on sets it again
+        if address is None:
+            self.core.listed.set()
+            self.moved.wait()
+            return
+        if not self.may_call():
+            self.moved.wait(wait)
+            return
+        try:
+            ending, text = self._follow(address, wait), ""
+        except TimeoutError:
+            ending, text = Ending.SILENT, ""
+        except Exception as error:   # the old list holds; the stream is followed anew
+            ending, text = endings.caught(error, connecting=True)
+        self.core.listed.set()   # it can't be asked: the list that we have must do
+        self.core.counters.add(f"coordinator: {ending.value}")
+        logger.warning("coordinator: {} {}; following on from event {}", ending.value, text, self.last)
+        self.lost()
+        self.moved.wait(max(0.0, wait - (time.monotonic() - began)))
 
     def _follow(self, address, wait):
-        with socket.create_connection(address, timeout=wait or None) as sock:
-            self.sock = sock
+        with closing(Connection(socket.create_connection(address, timeout=wait or None))) as connection:
+            self.connection, sock = connection, connection.sock
             try:
                 sock.sendall(b"follow %d\n" % self.last)
                 stream = Follow(self.last, self.most)
@@ -166,7 +176,7 @@
                     self.core.listed.set()
                 return Ending.CLOSED if address == self.address else Ending.RETIRED
             finally:
-                self.taking, self.sock = False, None
+                self.taking, self.connection = False, None
 
     def _receive(self, stream, sock):
         """Some bytes of the stream; none at its end."""
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -39,6 +39,11 @@
 HELD_BYTES = 2000       # bytes that a waiting command takes beside its statement, measured
 
 
+def deadline(now, until):
+    """The field of a fetch that tells how long we will wait, in ms; one that is past: the least there is."""
+    return b"w", b"%d" % max(1, -((now - until) // 1000))
+
+
 class Owed:
     """A command that was taken: whom it is owed to (None once answered), and its send that is out."""
 
@@ -59,6 +64,7 @@
     """
 
     connect = Link   # a class: of (engine, core, most bytes of a message, and of its pipe, now)
+    flusher = None   # goes on with writes that the system did not take whole
 
     def __init__(self, gateway, deal, counters, message_most, links_most, room, door=None, come_back=""):
         self.room = room   # of all clients
@@ -112,7 +118,12 @@
         self.listed.wait((self.deal.connect_us + 2 * FIRST_WORD_US) / 1e6)
         self.begin(known)
         while not self.stopped:
-            self._step()
+            try:
+                self._step()
+            except Exception:   # guards against a core that dies and leaves a process that looks alive
+                self.counters.add("faults of ours")
+                logger.exception("a step failed")
+                time.sleep(LOOK_S)
         self.ended = True   # this thread touches nothing any more
 
     def begin(self, known):
@@ -218,21 +229,24 @@
         if self.door:
             self.door.sent(number)
         link = self._link_for(engine, cmd.request.txn)
-        if link is None:   # told as late as a connection that does not come up: no spinning on the same want
-            self._later(min(self.now + self.deal.connect_us, until), self._end_send, send, api.NO_CONNECTION)
+        if link is None:
+            # Told as late as a connection that does not come up: no spinning on the same want. We are short
+            # of a descriptor or a thread: guards against blaming the engine for it.
+            self._later(min(self.now + self.deal.connect_us, until), self._end_send, send, api.MOOT)
             return
         send.until, send.stamp = until, self.stamp()
-        facts = [(b"c", cmd.request.verb), (b"w", b"%d" % -((self.now - until) // 1000))]
-        if cmd.request.unique:
-            facts.append((b"i", cmd.request.unique))
-        if cmd.grant > 0 and self.deal.heeds_grants:
-            facts.append((b"mem", b"%d" % ceil(cmd.grant)))
-        if self.deal.heeds_priority:
-            facts.append((b"prio", b"%d" % cmd.priority))
-        send.message = resp.encode(b"fetch", cmd.request.txn, resp.field_list(facts), cmd.request.body)
-        send.link, link.used_at = link, self.now
+        request, facts = cmd.request, self._facts(cmd)
+
+        def message(now):
+            return resp.encode(b"fetch", request.txn, resp.field_list([*facts, deadline(now, until)]),
+                               request.body)
+
+        send.message, send.link, link.used_at = message(self.now), link, self.now
         link.open[cmd.request.txn] = send
-        send.offset = link.pipe.put(send.message, send.stamp and (lambda: self.sure(send.stamp)))
+        # Guards against a deadline that was true when the send was decided and not when it goes out: its
+        # connection may come up late, or what is before it may be read late.
+        send.offset = link.pipe.put(send.message, send.stamp and (lambda: self.sure(send.stamp)),
+                                    lambda: message(self.clock()))
         if send.offset < 0:   # nothing of it goes out
             unsure = send.offset == UNSURE
             link.retired = link.retired or not unsure
@@ -241,6 +255,17 @@
         self.counters.add("sends")
         self._later(until, self._send_due, send)
 
+    def _facts(self, cmd):
+        """The fields of a fetch that do not change while it waits."""
+        facts = [(b"c", cmd.request.verb)]
+        if cmd.request.unique:
+            facts.append((b"i", cmd.request.unique))
+        if cmd.grant > 0 and self.deal.heeds_grants:
+            facts.append((b"mem", b"%d" % ceil(cmd.grant)))
+        if self.deal.heeds_priority:
+            facts.append((b"prio", b"%d" % cmd.priority))
+        return facts
+
     def stamp(self):
         """What sends are decided under now, for sure()."""
         return tuple(check.stamp() for check in self.checks)
@@ -513,7 +538,7 @@
                     and self.sure(send.stamp)) and link.pipe.withdraw(send.message):
                 self.counters.add("sends taken back")
                 self.after.append((self._end_send, send, api.MOOT))
-        link.pipe.attach(link.sock)
+        link.pipe.attach(link.connection)
 
     def _tell(self, link, *words):
         """A word beside a fetch. If it can't go the link ends: a lost abort would leave a send out."""
@@ -675,7 +700,7 @@
         at = self.now + (self.deal.connect_us if ending in endings.OURS else 0)
         for send in list(link.open.values()):
             outcome = endings.outcome(send.offset > 0 and link.pipe.whole(send.offset))
-            if ending == Ending.RETIRED and outcome == api.NO_CONNECTION:   # held back by us: no fault of its
+            if ending in endings.NO_BLAME and outcome == api.NO_CONNECTION:
                 outcome = api.MOOT
             if at > self.now:
                 del link.open[send.command.request.txn]
@@ -691,7 +716,7 @@
         """Links that fell silent, links no longer needed."""
         self._later(self.now + self.sweep_us, self._sweep)
         for link in list(self.links):
-            if link.sock is None:
+            if link.connection is None:
                 continue
             if not link.open:
                 if link.retired or link.engine.state != api.READY:
--- a/gullhold/net/front.py
+++ b/gullhold/net/front.py
@@ -9,16 +9,20 @@
 from typing import NamedTuple
 from zlib import crc32
 
+from loguru import logger
+
 from gullhold import interface as api
 from gullhold.door.whose import CLOSED
-from gullhold.net import endings, host_port, patience, statement, thrift
+from gullhold.net import endings, host_port, set_no_delay, set_read_timeout, statement, thrift
 from gullhold.net.buffer import FIRST
+from gullhold.net.connection import Connection
 from gullhold.net.endings import Ending, Malformed
 from gullhold.net.pipe import Pipe
 
 OPEN_MOST = 32         # requests that a client has open on a connection, from the protocol
 RESULT_MOST = 48_000   # bytes of a result, from the protocol
 KEPT_MOST = 32_768     # bytes of calls kept in a pause: 32 of usual size
+KEPT_LOOK_S = 0.05     # s between reads in a pause once as much is kept: half of what a leaving may take
 SAY_S = 2.0            # s in which a connection says something whole; the page wants an end within 3 s
 IDLE_S = 5.0           # s without a request; usual clients close their own after 4 s
 LOOK_US = 500_000      # us between looks at these two
@@ -142,8 +146,9 @@
     """One connection of a client. Its reader thread feeds the core; the core answers through its pipe."""
 
     def __init__(self, sock, core, reader, most, peer=("", "")):
-        self.sock, self.core, self.reader = sock, core, reader
-        self.decoder, self.pipe = thrift.Decoder(most), Pipe(OPEN_MOST * (RESULT_MOST + most), core.counters)
+        self.connection, self.core, self.reader = Connection(sock), core, reader
+        self.decoder = thrift.Decoder(most)
+        self.pipe = Pipe(OPEN_MOST * (RESULT_MOST + most), core.counters, core.flusher)
         self.open, self.taken, self.settled, self.ending = {}, 0, 0, None
         self.taken_back = set()   # numbers of open requests whose interrupts wait for the core
         self.seq, self.waiting, self.over = 0, {}, False   # last number; those that the core has yet to see
@@ -155,9 +160,9 @@
         self.cut, self.dismissed = False, False   # in the middle of a message; to end when nothing is open
         self.resting = False   # the core was asked to end it for idleness
         self.peer, self.patience_us = peer, LOOK_US   # its address, and a name for this connection alone
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        patience(sock, LOOK_US)
-        self.pipe.attach(sock)
+        set_no_delay(sock)
+        set_read_timeout(sock, LOOK_US)
+        self.pipe.attach(self.connection)
 
     def put(self, message):
         """Send it a whole frame; where that can't be, the connection ends. So it does for one that does not
@@ -175,17 +180,24 @@
     def dismiss(self):
         """End it for idleness; what has come, read or not, is still taken and answered."""
         self.over = self.dismissed = True
-        with suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RD)
+        self.connection.shutdown(socket.SHUT_RD)
 
     def busy(self):
         """Whether something of it is still to be answered."""
         return self.taken != self.settled or len(self.kept) > 0
 
     def run(self):
-        """Read until the connection ends, then see it closed."""
+        """Read until the connection ends, then close it."""
+        try:
+            self._serve()
+        finally:
+            self.connection.close()
+
+    def _serve(self):
         try:
             ending, text = self._read(), ""
+            if self.pipe.error:   # a write broke it, and the reader was only woken
+                ending, text = endings.caught(self.pipe.error)
         except Exception as error:   # a fault of ours ends this connection, not the program
             ending, text = endings.caught(error)
         ending, text = self.ending or (ending, text)
@@ -208,12 +220,12 @@
         """
         end, patient = time.monotonic() + SAY_S, False   # first: what is still to go out
         with suppress(OSError):
-            patience(self.sock, int(DISMISS_S * 1e6))
+            set_read_timeout(self.connection.sock, int(DISMISS_S * 1e6))
             while time.monotonic() < end and not self.pipe.dead:
                 if self.pipe.said and not patient:
                     end, patient = min(end, time.monotonic() + CROSS_S), True
                 try:
-                    if not self.sock.recv(FIRST):
+                    if not self.connection.sock.recv(FIRST):
                         if self.pipe.said and not self.dismissed:
                             break
                         time.sleep(DISMISS_S)
@@ -240,10 +252,8 @@
             if self.refused:   # one write for all of them
                 frames, self.refused = self.refused, []
                 self.put(b"".join(frames))
-                # Guards all others against those who ask again at once: the pause grows while they do.
-                self.pause = CLOSED_S if self.core.closed else min(max(2 * self.pause, REFUSED_S[0]),
-                                                                   REFUSED_S[1])
-                self._hold_off(self.pause)
+                if time.monotonic() >= self.resume_at:   # else what is kept would wait longer and longer
+                    self._pause_longer()
             elif self.pause and time.monotonic() >= self.resume_at:
                 self.pause /= 2 if self.pause > REFUSED_S[0] else float("inf")
             # Guards against those who connect and say nothing, never come to an end, or take all back.
@@ -261,28 +271,39 @@
     def _receive(self):
         """Wait for bytes, in a pause no longer than that lasts; False at the end of the stream.
 
-        While something is open a pause only puts off what is asked: guards against a client's leaving, or its
-        taking a command back, being read when the pause is over, while that command goes out.
+        A pause only puts off what is asked: guards against a client's leaving, or its taking a command back,
+        being read when the pause is over, while that command goes out. Where as much is kept as may be it is
+        read slowly, so that a client that asks without end is held back by its own connection; that it has
+        left is seen at once all the same.
         """
         left = self.resume_at - time.monotonic()
+        full = left > 0 and self._keeps_most()
         if left <= 0:
             self.kept_size = 0
-        elif (self.taken == self.settled or len(self.kept) >= OPEN_MOST
-              or self.kept_size > KEPT_MOST):   # no more is kept than a usual client has open
-            time.sleep(left)
-            return True
+        elif full and self.connection.left(min(left, KEPT_LOOK_S)):
+            return False   # whatever it asked before: guards against sends for one that has left
         wait_us = int(min(left * 1e6 + 1000, LOOK_US)) if left > 0 else (
             int(DISMISS_S * 1e6) if self.resting else LOOK_US)
         if wait_us != self.patience_us:
             self.patience_us = wait_us
-            patience(self.sock, wait_us)
+            set_read_timeout(self.connection.sock, wait_us)
         try:
-            came = self.decoder.buffer.receive(self.sock)
+            came = self.decoder.buffer.receive(self.connection.sock)
         except BlockingIOError:
             return True
-        self.kept_size += came if left > 0 else 0
+        self.kept_size += came if left > 0 and not full else 0
         return came > 0
 
+    def _pause_longer(self):
+        """Guards all others against those who ask again at once: the pause grows while they do."""
+        grown = min(max(2 * self.pause, REFUSED_S[0]), REFUSED_S[1])
+        self.pause = CLOSED_S if self.core.closed else grown
+        self._hold_off(self.pause)
+
+    def _keeps_most(self):
+        """Whether as much is kept, in a pause, as a usual client has open."""
+        return len(self.kept) >= OPEN_MOST or self.kept_size > KEPT_MOST
+
     def _hold_off(self, seconds):
         self.resume_at = time.monotonic() + seconds
 
@@ -297,7 +318,12 @@
         if call.method == "interrupt":
             self._interrupt(call.args.get((1, thrift.I32)))
         elif self.kept or time.monotonic() < self.resume_at:
-            self.kept.append((call, at))
+            if self._keeps_most() and call.method == "execute":
+                self.core.counters.add("taken")
+                self.core.counters.add("turned away in a pause")
+                self.refused.append(thrift.shed(call.seq, {}))
+            else:
+                self.kept.append((call, at))
         else:
             self._take(call, at)
 
@@ -396,14 +422,17 @@
                     raise
                 waiting = None
                 self.core.counters.add("client connections")
-            except (OSError, RuntimeError) as error:
+            except Exception as error:   # of any kind: one that ends this thread leaves nobody to take them
                 if self.sock.fileno() < 0:
                     return
                 if waiting and isinstance(error, OSError):   # it went before we had it
                     waiting.close()
                     waiting = None
                 self.core.counters.add("accepts put off")
-                time.sleep(0.01)
+                if not isinstance(error, OSError | RuntimeError):
+                    self.core.counters.add("faults of ours")
+                    logger.opt(exception=error).error("taking a connection failed")
+                time.sleep(DISMISS_S)
 
     def _serve(self, client):
         try:
--- a/gullhold/net/links.py
+++ b/gullhold/net/links.py
@@ -1,13 +1,19 @@
 """Engine links: one connection to an engine, its thread, and the exchanges that are open on it."""
 
+import errno
 import socket
-from contextlib import suppress
+import time
 from threading import Thread
 
-from gullhold.net import endings, host_port, patience, resp
+from gullhold.net import endings, host_port, resp, set_no_delay, set_read_timeout
+from gullhold.net.connection import Connection
 from gullhold.net.endings import Ending, Malformed
 from gullhold.net.pipe import Pipe
 
+RETRY_S = 0.02   # s between tries to connect where this machine is short of something
+# Also tried again: a route that is gone for a moment. ip(7), connect(2).
+RETRIED = endings.SHORT_HERE | {errno.ENETUNREACH}
+
 
 class Engine:
     """An engine by its identity, where it listens, and our links to it."""
@@ -30,13 +36,14 @@
 
 
 class Link:
-    """One connection. Its thread connects and reads; all but the socket is the core's alone."""
+    """One connection. Its thread connects, reads and closes; all but the connection is the core's alone."""
 
     def __init__(self, engine, core, most, pipe_most, now):
         self.engine, self.core = engine, core
-        self.decoder, self.pipe = resp.Decoder(most), Pipe(pipe_most, core.counters)
+        self.decoder, self.pipe = resp.Decoder(most), Pipe(pipe_most, core.counters, core.flusher)
         self.open, self.given_up, self.confirms, self.ended, self.retired = {}, set(), {}, False, False
-        self.heard_at, self.used_at, self.asked_at, self.sock, self.ending = now, now, 0, None, None
+        self.heard_at, self.used_at, self.asked_at, self.ending = now, now, 0, None
+        self.connection = None   # once it is up
         self.address = host_port(engine.address)
 
     def start(self):
@@ -52,38 +59,62 @@
     def shut(self, ending):
         """End it from our side; the reader wakes and reports."""
         self.retired, self.ending = True, self.ending or ending
-        if self.sock is not None:
-            with suppress(OSError):
-                self.sock.shutdown(socket.SHUT_RDWR)
+        if self.connection is not None:
+            self.connection.shutdown()
 
     def _run(self):
         ending, text, core = Ending.FAULT, "", self.core
-        sock = None
+        connection = None
         try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            sock.settimeout(core.deal.connect_us / 1e6 or None)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             try:
-                sock.connect(self.address)
+                connection = Connection(self._connected())
             except OSError as error:
                 ending, text = endings.caught(error, connecting=True)
                 return
-            sock.settimeout(None)
-            self.sock = sock
+            self.connection = connection
             if self.ending:
                 ending = self.ending
                 return
             core.first(core.link_up, self)   # which looks at what waits here once more, and lets it go out
-            ending = self._read(sock)
+            ending = self._read(connection.sock)
+            if self.pipe.error:   # a write broke it, and the reader was only woken
+                ending, text = endings.caught(self.pipe.error)
         except Exception as error:   # a fault of ours ends this link, not the program
             ending, text = endings.caught(error)
         finally:
             self.pipe.finish(now=True)
-            if sock is not None:
-                sock.close()
+            if connection is not None:
+                connection.close()
             core.holding.discard(self)
             core.post(core.link_ended, self, self.ending or ending, text)
 
+    def _connected(self):
+        """A socket that is connected; OSError where there is none in time. What this machine refuses for a
+        moment is tried again: guards against blaming an engine for it."""
+        wait_s = self.core.deal.connect_us / 1e6
+        end = time.monotonic() + (wait_s or self.core.sweep_us / 1e6)
+        while True:
+            try:
+                return self._connect(wait_s and max(end - time.monotonic(), RETRY_S))
+            except OSError as error:
+                if error.errno not in RETRIED or self.ending or time.monotonic() + RETRY_S >= end:
+                    raise
+            self.core.counters.add("connects tried again")
+            time.sleep(RETRY_S)
+
+    def _connect(self, wait_s):
+        """One try, for so many seconds at most (0: no limit)."""
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.settimeout(wait_s or None)
+            set_no_delay(sock)
+            sock.connect(self.address)
+            sock.settimeout(None)
+        except BaseException:
+            sock.close()
+            raise
+        return sock
+
     def _read(self, sock):
         cut = False
         while True:
@@ -100,4 +131,4 @@
                     self.core.post(self.core.heard, self, arrays)
             if self.decoder.cut != cut:   # in the middle of an answer the next bytes come soon, or never
                 cut = self.decoder.cut
-                patience(sock, self.core.deal.connect_us if cut else 0)
+                set_read_timeout(sock, self.core.deal.connect_us if cut else 0)
--- a/gullhold/net/logsink.py
+++ b/gullhold/net/logsink.py
@@ -31,5 +31,5 @@
             try:
                 self.stream.write(text)
                 self.stream.flush()
-            except (OSError, ValueError):   # nobody reads any more: the gateway serves on
+            except Exception:   # nobody reads any more, or memory is short: the gateway serves on
                 self.counters.add("log writes failed")
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -8,7 +8,6 @@
 import sys
 import threading
 import time
-from threading import Thread
 
 from loguru import logger
 
@@ -20,16 +19,20 @@
 from gullhold.net.core import Core
 from gullhold.net.counters import Counters
 from gullhold.net.endings import Malformed
+from gullhold.net.flusher import Flusher
 from gullhold.net.front import RESULT_MOST, Listener, Room
 from gullhold.net.logsink import LogSink
 from gullhold.net.reread import Reread, mark
 from gullhold.net.signals import ENDED, Signals
+from gullhold.net.startup import Refused, retried, start_thread
 
 STACK = 256 * 1024   # bytes of address space a thread; only what is touched counts as memory
 SWITCH_S = 0.001     # the longest that one thread keeps another waiting: under any network time that matters
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGUSR1, signal.SIGHUP)
 LOG_S = 0.2          # at the end, for lines still unwritten
 FLEET_S = 1.0        # at the end, for what came of the fleet's own commands: a few calls of the register
+LISTEN_PATIENCE_S = 5.0   # s in which an address that is still taken, or a socket, is asked for again
+FAULT_WAIT_S = 0.01  # s between turns of the main thread after a fault
 LOG_LINE_MOST = 240  # characters of a line of counters: what reads logs may cut lines at 300
 ROOM_PART = 8        # of the memory, for statements that wait, and as much for answers that are not read
 OWN_SOCKETS = 16     # descriptors beside clients and links: standard ones, listener, coordinator, spare
@@ -91,12 +94,14 @@
                 told["sockets"] - clients - OWN_SOCKETS, Room(told["memory"] // ROOM_PART), door,
                 rule.come_back.field if rule else "")
     try:
-        listener = Listener(told["listen"], core, deal, most, clients, whose)
-    except (OSError, ValueError) as fault:
+        core.flusher = retried("a pipe", Flusher)
+        listener = retried("a socket", lambda: Listener(told["listen"], core, deal, most, clients, whose),
+                           LISTEN_PATIENCE_S)
+    except (OSError, ValueError, Refused) as fault:
         raise Unusable(f"can't listen on {told['listen']}: {fault}") from None
     coordinator = Coordinator(told["coordinator"], told["last"], core, most, told["names"])
     core.behind, core.say_end = coordinator.behind, listener.finish
-    return core, {"listener": listener.run, "coordinator": coordinator.run}
+    return core, {"listener": listener.run, "coordinator": coordinator.run, "flusher": core.flusher.run}
 
 
 def operator_file(path):
@@ -139,75 +144,104 @@
     """Act on signals, and report so often (0: never), until the core has ended."""
     due, came = time.monotonic() + report_s, ()
     while ENDED not in came:
-        came = signals.wait(max(0.0, due - time.monotonic()) if report_s else None)
-        for number in came:
-            if number in acts:
-                acts[number]()
-        if report_s and time.monotonic() >= due:
-            report()
-            due += report_s
+        try:
+            came = signals.wait(max(0.0, due - time.monotonic()) if report_s else None)
+            for number in came:
+                if number in acts:
+                    acts[number]()
+            if report_s and time.monotonic() >= due:
+                due += report_s
+                report()
+        except Exception:   # guards against a fault beside the service that ends the process with all it owes
+            logger.exception("the main thread failed, and goes on")
+            time.sleep(FAULT_WAIT_S)
+
+
+class Process:
+    """The parts of one gateway process, from what its files say to its end."""
+
+    def __init__(self, path, operator):
+        """Read the files and take the address; Unusable where that can't be."""
+        self.seen = mark(path) if path else None   # before it is read: one that is replaced meanwhile differs
+        self.told = load(path)
+        written = operator_file(operator)
+        self.core, self.runs = assemble(self.told, written and written.door)
+        self.fleet = fleet_of(written.fleet, self.told, self.core) if written else None
+        try:
+            self.sink = log_to(retried("thread log", lambda: LogSink(sys.stderr, self.core.counters)))
+            self.signals = retried("a pipe", lambda: Signals(SIGNALS))
+        except Refused as fault:
+            raise Unusable(str(fault)) from None
+        self.began = time.monotonic()
+        coordinator = self.runs["coordinator"].__self__
+        self.reread = Reread(path, self.seen, coordinator)
+        coordinator.lost = self.reread.if_changed
+        if self.fleet and self.fleet.budgets:
+            coordinator.may_call = self.fleet.budgets.may_call_lists
+
+    def start(self):
+        """Start all threads; Refused where the system goes on refusing one."""
+        for name, run in (*self.runs.items(), ("core", self._run_core)):
+            start_thread(run, name)
+        if self.fleet:
+            self.fleet.start()
+
+    def run(self, report_s):
+        """Serve until the core has ended; the exit status."""
+        acts = {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGHUP: self.reread.now,
+                signal.SIGUSR1: self.report}
+        wait_for_end(self.signals, acts, self.report, report_s)
+        if self.fleet:
+            self.fleet.gone.wait(FLEET_S)
+        self.report()
+        return 0 if self.core.stopped else 1
+
+    def leave(self):
+        """A planned restart."""
+        self.core.first(self.core.leave)
+        if self.fleet:
+            self.fleet.leave()
+
+    def report(self):
+        """Log the counters."""
+        parts = [f"up {time.monotonic() - self.began:.1f} s", f"CPU {time.process_time():.2f} s",
+                 *resident(), *self.core.counters.lines()]
+        for place, line in enumerate(joined(parts, LOG_LINE_MOST)):
+            logger.info("{} {}", "counters, continued:" if place else "counters:", line)
+
+    def _run_core(self):
+        try:
+            self.core.run(self.told["changes"])
+        except Exception:
+            logger.exception("the core ended")
+        finally:
+            self.signals.wake()   # a gateway without its core must not live on
 
 
 def serve(path, report_s=0, operator=None):
     """Serve until SIGTERM, with the counters logged so often (0: only at the end); the exit status."""
     # A signal that comes before its handler stands waits for it; and no other thread's calls end for one.
     signal.pthread_sigmask(signal.SIG_BLOCK, SIGNALS)
+    threading.stack_size(STACK)
+    sys.setswitchinterval(SWITCH_S)
     try:
-        threading.stack_size(STACK)
-        sys.setswitchinterval(SWITCH_S)
-        seen = mark(path) if path else None   # before it is read: one that is replaced meanwhile differs
-        told = load(path)
-        written = operator_file(operator)
-        core, runs = assemble(told, written and written.door)
-        fleet = fleet_of(written.fleet, told, core) if written else None
+        process = Process(path, operator)
     except Unusable as fault:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
         print(f"gullhold: {fault}", file=sys.stderr)
         return 2
-    sink = log_to(LogSink(sys.stderr, core.counters))
-    began, signals = time.monotonic(), Signals(SIGNALS)
-
-    def run_core():
-        try:
-            core.run(told["changes"])
-        finally:
-            signals.wake()   # a gateway without its core must not live on
-
-    core_thread = Thread(target=run_core, name="core", daemon=True)
-
-    def report():
-        parts = [f"up {time.monotonic() - began:.1f} s", f"CPU {time.process_time():.2f} s", *resident(),
-                 *core.counters.lines()]
-        for place, line in enumerate(joined(parts, LOG_LINE_MOST)):
-            logger.info("{} {}", "counters, continued:" if place else "counters:", line)
-
-    coordinator = runs["coordinator"].__self__
-    reread = Reread(path, seen, coordinator)
-    coordinator.lost = reread.if_changed
-    if fleet and fleet.budgets:
-        coordinator.may_call = fleet.budgets.may_call_lists
-
-    def leave():
-        core.first(core.leave)
-        if fleet:
-            fleet.leave()
-
-    acts = {signal.SIGTERM: leave, signal.SIGINT: leave, signal.SIGHUP: reread.now, signal.SIGUSR1: report}
     gc.collect()
     gc.freeze()   # what lives to the end need not be looked through again
-    for name, run in runs.items():
-        Thread(target=run, name=name, daemon=True).start()
-    core_thread.start()
-    if fleet:
-        fleet.start()
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
-    logger.info("serving {} on {}", told["name"], told["listen"])
-    wait_for_end(signals, acts, report, report_s)
-    if fleet:
-        fleet.gone.wait(FLEET_S)
-    report()
-    sink.finish(LOG_S)
-    return 0 if core.stopped else 1
+    try:
+        process.start()
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, SIGNALS)
+        logger.info("serving {} on {}", process.told["name"], process.told["listen"])
+        status = process.run(report_s)
+    except Refused as fault:   # in order, and with the reason: half a gateway must not look alive
+        logger.critical("{}", fault)
+        status = 1
+    process.sink.finish(LOG_S)
+    return status
 
 
 def explain(path, operator=None):
--- a/gullhold/net/signals.py
+++ b/gullhold/net/signals.py
@@ -3,6 +3,7 @@
 import os
 import select
 import signal
+from contextlib import suppress
 
 ENDED = 0            # not a signal: what wake() says
 READ_MOST = 4096     # bytes of one read, a signal each
@@ -26,7 +27,8 @@
 
     def wake(self):
         """From any thread: have wait() return."""
-        os.write(self.into, bytes([ENDED]))
+        with suppress(BlockingIOError):   # full: there is enough to wake for
+            os.write(self.into, bytes([ENDED]))
 
     def wait(self, seconds):
         """The numbers that came, each once, in order; empty after so many seconds (None: no such end)."""
--- a/gullhold/rehearsal/gateway.py
+++ b/gullhold/rehearsal/gateway.py
@@ -10,6 +10,7 @@
 from gullhold import policy
 from gullhold.net import coordinator, front, links
 from gullhold.net import core as product
+from gullhold.net.connection import Connection
 from gullhold.net.counters import Counters
 from gullhold.net.endings import STILL_THERE, Ending, Malformed
 from gullhold.rehearsal.ends import End
@@ -64,7 +65,7 @@
 
     def up(self, end):
         """The connection stands."""
-        self.sock = Line(end)
+        self.connection = Connection(Line(end))
         if self.ending:
             self.fail(self.ending)
         else:
@@ -73,8 +74,8 @@
     def shut(self, ending):
         """End it from our side; its reader reports a moment later."""
         self.retired, self.ending = True, self.ending or ending
-        if self.sock is not None:
-            self.sock.shutdown(None)
+        if self.connection is not None:
+            self.connection.shutdown()
             self.core.world.clock.after(0, self.fail, ending)
 
     def hears(self, _end, data):
@@ -102,8 +103,8 @@
             return
         self.over = True
         self.pipe.finish(now=True)
-        if self.sock is not None:
-            self.sock.close()
+        if self.connection is not None:
+            self.connection.close()
         self.core.holding.discard(self)
         self.core.post(self.core.link_ended, self, self.ending or ending, text)
 
