--- a/gullhold/standins/relay.py
+++ b/gullhold/standins/relay.py
@@ -51,6 +51,7 @@
             try:
                 near = self.sock.accept()[0]
             except OSError:
+                self.sock.close()
                 return
             threading.Thread(target=self._join, args=(near,), daemon=True).start()
 
@@ -65,8 +66,13 @@
         for sock in (near, far):
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self.conns.add(sock)
-        threading.Thread(target=self._pump, args=(far, near, BACK), daemon=True).start()
+        back = threading.Thread(target=self._pump, args=(far, near, BACK), daemon=True)
+        back.start()
         self._pump(near, far, THERE)
+        back.join()
+        for sock in (near, far):   # only now: while a thread reads there its number must not be another's
+            self.conns.discard(sock)
+            sock.close()
 
     def _wait(self, side):
         with self.changed:
@@ -93,7 +99,6 @@
         self._end(sink)
 
     def _end(self, sock):
-        self.conns.discard(sock)
+        """Both threads that read and write there come back; the one that made it closes it."""
         with suppress(OSError):
             sock.shutdown(socket.SHUT_RDWR)
-        sock.close()
--- /dev/null
+++ b/tests/faults/test_system_calls.py
@@ -0,0 +1,64 @@
+"""System calls that fail as Linux documents it, while a gateway serves: every request gets its one answer."""
+
+import signal
+
+import pytest
+from serving import PATIENCE
+
+from faults.plan import Plan
+from faults.traffic import Played
+from gullhold.net import endings
+from gullhold.net.endings import Ending
+
+PLANS = {
+    "connections that end before they are taken": [("accept", 300, "ECONNABORTED", 0)],
+    "no descriptor for a client": [("accept", 300, "EMFILE", 0)],
+    "no buffer for a client": [("accept", 300, "ENOBUFS", 0)],
+    "no descriptor for a link": [("socket", 300, "ENFILE", 0)],
+    "no port for a link": [("connect", 300, "EADDRNOTAVAIL", 0)],
+    "no route for a moment": [("connect", 300, "ENETUNREACH", 0)],
+    "options refused": [("setsockopt", 200, "ENOMEM", 0)],
+    "waits that fail": [("poll", 300, "ENOMEM", 0)],
+    "no buffer for a write": [("send", 200, "ENOBUFS", 0)],
+    "short reads and writes": [("send", 1000, "", 39), ("recv", 1000, "", 39)],
+    "single bytes": [("send", 300, "", 1), ("recv", 300, "", 1)],
+    "short writes and refused threads": [("send", 1000, "", 39), ("thread", 300, "EAGAIN", 0)],
+}
+
+
+@pytest.mark.parametrize("name", PLANS)
+def test_every_request_is_answered_once_where_system_calls_fail(tmp_path, name):
+    plan = Plan(tmp_path, seed=len(name))
+    with Played(tmp_path, plan) as played:
+        for call, rate, error, most in PLANS[name]:
+            plan.set(call, rate, error, most)
+        played.ask(6, limit_ms=4000)
+        breaks = played.play(1.0)
+        assert all(plan.hits(call) for call, *_ in PLANS[name]) or name == "waits that fail"
+        assert not breaks and played.record.counts["answered"] > 40 and "Traceback" not in played.text()
+        plan.clear()
+        played.process.send_signal(signal.SIGTERM)
+        assert played.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize("error", ["ETIMEDOUT", "EHOSTUNREACH", "ECONNRESET"])
+def test_a_connection_that_breaks_in_any_way_costs_no_other_its_answer(tmp_path, error):
+    """The shim breaks connections that are well, so a client whose own is broken may be left with nothing."""
+    plan = Plan(tmp_path)
+    with Played(tmp_path, plan, attempts_cap=0) as played:
+        plan.set("recv", 10, error)
+        plan.set("send", 10, error)
+        played.ask(6, limit_ms=4000)
+        breaks = played.play(1.5)
+        assert plan.hits("recv") and plan.hits("send") and played.record.counts["answered"] > 100
+        assert all(text.startswith("a connection ended") for text in breaks)
+        assert "Traceback" not in played.text() and played.serves()
+
+
+def test_a_time_out_of_the_system_is_an_end_and_one_of_a_read_is_not():
+    """ETIMEDOUT on an open connection was taken for idleness: the client's requests were still answered."""
+    assert endings.of_error(TimeoutError(110, "ETIMEDOUT")) == Ending.RESET
+    assert endings.of_error(TimeoutError(110, "ETIMEDOUT"), connecting=True) == Ending.NOT_UP
+    assert endings.of_error(BlockingIOError(11, "EAGAIN")) == Ending.IDLE
+    assert endings.of_error(OSError(113, "EHOSTUNREACH")) == Ending.RESET
+    assert endings.of_error(OSError(105, "ENOBUFS"), connecting=True) == Ending.SHORT
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -537,6 +537,24 @@
     assert process.wait(PATIENCE) == 0
 
 
+def test_the_deadline_that_an_engine_is_told_counts_from_the_first_byte_not_from_the_decision(start):
+    """It was encoded when the send was decided, and waited for its connection: it said what had been left."""
+    late = Late()
+    gateway, client = start(late, connect_timeout=3.0)
+    client.ask(limit=3500)
+    until(lambda: gateway.count("sends") == 1)
+    time.sleep(0.7)
+    conn, machine = late.come_up(), resp.Decoder(100_000)
+    began = time.monotonic()
+    while not (arrays := list(machine.arrays())):
+        machine.buffer.receive(conn)
+    verb, txn, facts, _ = arrays[0]
+    left = 3500 - 700 - 1000 * (time.monotonic() - began)   # ms, at most: it was waited for before that
+    assert verb == b"fetch" and 0 < int(resp.fields(facts)[b"w"]) <= left + 150
+    conn.sendall(resp.encode(txn, b"200", b"pages=1,cost=5,need=10", b"a\tb\tc\n"))
+    assert client.answer()[1] == b"a\tb\tc\n"
+
+
 # Pages, and what happens between them
 
 
