Lists and ranks of engines follow their changes; the work no longer grows with the fleet

Saw (probe of the module, 3% resets, 40 data sets, replacement of one engine every 200 commands, a busy machine): at 80 and 3,200 engines 217 and 1,687 us a command, 96 and 2,527 us a change of the list. Lines at fault: engines() rebuilt the lists of all engines and dropped all ranks at each event; _drawn built and walked a list of all engines for each draw; the median of failures and the count of stuck engines walked all; Core._listed walked all at each event. Change: EngineList and Ranking (gullhold/ranking.py) are kept by what changes; draws stop when they have what they want, and walk 128 engines at most; the median is told without a walk while fewer than half have failures; gone engines and stuck ones are sets.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -480,8 +480,11 @@
                     link.retired = True
         states = {entry[0]: entry[4] for entry in entries}
         self.counters.add("list changes")
-        for engine in list(self.engines.values()):
-            engine.state = states.get(engine.id, api.GONE if whole else engine.state)
+        for ident in list(self.engines) if whole else states:   # the work follows what changed
+            engine = self.engines.get(ident)
+            if engine is None:
+                continue
+            engine.state = states.get(ident, api.GONE)
             if engine.state != api.READY:   # what has not begun to go out must not go any more
                 for link in list(engine.links):
                     for send in [send for send in link.open.values() if link.pipe.withdraw(send.message)]:
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -7,11 +7,13 @@
 from bisect import insort
 from collections import deque
 from heapq import heappop, heappush
+from itertools import chain
 from math import ceil, exp
 from random import Random
 from statistics import median
 
 from gullhold import interface as api
+from gullhold.ranking import EngineList
 
 # Tuned values: each with its unit and the reason for its size.
 THREADS_A_CORE = 2.0      # threads; the design's start for cap and bound
@@ -36,6 +38,8 @@
 NEED = (1.1, 0.2, 2.0)    # first mean of need over estimate, its spread; spreads granted: spilling costs more
 SICK = (0.15, 2, 0.7, 0.3)  # share of failures, over times the median, that is sick; part for long ones; step
 JAMMED = (0.1, 1.5)       # share of failures, or slowness, from which load told is no room: half of sick
+NO_FAILURES = 1e-4        # share of failures, as it fades, that is none
+WALK_MOST = 128           # engines looked at from a point drawn at random: more than most fleets have
 EASE = 0.1                # weight of the newest answer in moving figures: about ten count
 FORGOTTEN = 0.02          # commands of a tenant's fading count that no figure would show any more
 RUNS = (0.6, 1.8, 3.0)    # usual runs between looks at a send; of a bad plan; left by notes, or of one stuck
@@ -53,7 +57,7 @@
           "running": 0, "bound": None, "failed": 0.0, "failed_at": 0, "full_until": 0, "seen_at": 0,
           "seen": 0.0, "seen_slow": 0.0, "stage": 0, "stage_at": 0, "work_done": 0.0, "fit_at": 0,
           "samples": (), "cold_sent": deque, "ticket": 0.0, "ticket_at": 0, "load": 1.0, "load_at": 0,
-          "stuck": 0}
+          "stuck": 0, "sequence": 0}
 
 
 class Command:
@@ -68,12 +72,6 @@
         self.began, self.stays = (), ()   # under the fleet's budgets: of its send, and until it has ended
 
 
-def mix(one, other):
-    """A number that looks random, the same everywhere for the same two."""
-    one = (one ^ other * 0x9E3779B1) * 0x85EBCA6B & 0xFFFFFFFF
-    return (one ^ one >> 15) * 0xC2B2AE35 & 0xFFFFFFFF
-
-
 def spread_of(n, s1, s2):
     """The spread against its mean of a figure, from fading sums of ones, values and squares; 0: none yet."""
     return max(s2 * n / s1 ** 2 - 1, 0.0) ** 0.5 if s1 else 0.0
@@ -106,7 +104,7 @@
         self.out, self.now, self.order, self.ready_cores, self.usual_failed = [], now, 0, 0.0, 0.0
         self.commands, self.due = {}, []             # by id while owed or out; (time, order, command, sends)
         # (Engine, data set): until when a load holds it. Data set: engines by rank, and commands, fading.
-        self.closed, self.ranks, self.asked, self.asked_all = {}, {}, {}, 0.0
+        self.closed, self.asked, self.asked_all = {}, {}, 0.0
         self.lines, self.key_rest, self.taken, self.extras = {}, {}, deque(), deque()   # by key; times
         # Profiles: usual work, bias of estimates, need against estimate, best and usual pace, kills saved up.
         n = len(agreement.profiles)
@@ -128,7 +126,10 @@
         self.util, self.busy = fields.index("util") if "util" in fields else -1, 1.0
         self.prior, self.parts = 1.0, None   # least usual work; our parts of the fleet's budgets
         self.gate, self.priorities, self.grants, self.most_sends = None, {}, {}, {}   # by the fleet's policy
-        self.index, self.ids, self.free, self.ready, self.near = {}, [], [], [], []
+        # Engines by id; ready ones, and those of them in our location; gone ones that may still be needed.
+        self.index, self.ids, self.free, self.sequences = {}, [], [], 0
+        self.ready, self.near, self.gone = EngineList(), EngineList(), set()
+        self.marred, self.stuck_at, self.sampled = set(), set(), -1   # with failures, stuck sends; sampled
         vars(self).update({name: [] for name in ENGINE})   # parallel arrays under the dense index
 
     def engines(self, now, entries, full):
@@ -139,27 +140,57 @@
                 be = self.index[ident] = self.free.pop() if self.free else len(self.ids)
                 for name, first in (*ENGINE.items(), ("ids", ident)):   # a new place, or one given up
                     getattr(self, name)[be:be + 1] = [first() if callable(first) else first]
+                self.sequences += 1
+                self.sequence[be] = self.sequences
             seen.add(be := self.index[ident])
+            self._take_off(be)
             if born > self.born[be]:                          # a restart: whatever we knew is void
                 self.seen[be] = self.seen_slow[be] = self.failed[be] = self.full_until[be] = 0
                 self.load[be] = 1.0
                 self.cold_sent[be].clear()
             self.state[be], self.place[be], self.kind[be], self.cell[be] = state, place, kind, cell
-            cores, self.born[be], self.stage[be] = self.deal.kind_cores, born, 0
+            cores, self.born[be] = self.deal.kind_cores, born
+            self._set_stage(be, 0)
             self.cores[be] = cores[kind] if kind < len(cores) else max(cores, default=1.0)
-        for be in self.index.values() if full else ():
-            self.state[be] = self.state[be] if be in seen else api.GONE
-        used = {be for cmd in self.commands.values() for be in (cmd.engine, cmd.ran_engine)}
-        used.update(row[1] for row in self.lingering)
-        self.free += [self.index.pop(ident) for ident, be in list(self.index.items()) if be not in used and
-                      self.state[be] == api.GONE and now > self.born[be] + self.deal.cold_us]
-        self.ready = [be for be in self.index.values() if self.state[be] == api.READY]
-        self.near = [be for be in self.ready if self.place[be] == self.deal.location]
-        self.ranks, self.ready_cores = {}, sum(self.cores[be] for be in self.ready)
+            self._enlist(be)
+        for be in [be for be in self.index.values() if be not in seen] if full else ():
+            self._take_off(be)
+            self.state[be] = api.GONE
+            self._enlist(be)
+        self._forget_gone()
         self.closed = {spot: until for spot, until in self.closed.items() if until > now}
         self.key_rest = {key: until for key, until in self.key_rest.items() if until > now}
         return self._release()
 
+    def _take_off(self, be):
+        """Before an engine's entry changes: what it adds to the sums of ready ones."""
+        if be in self.ready:
+            self.ready_cores -= self.cores[be]
+
+    def _enlist(self, be):
+        """After an engine's entry has changed: the lists that it belongs to."""
+        ready = self.state[be] == api.READY
+        self.ready.set(be, self.sequence[be], self.ids[be], ready)
+        self.near.set(be, self.sequence[be], self.ids[be], ready and self.place[be] == self.deal.location)
+        self.ready_cores += self.cores[be] if ready else 0.0
+        (self.gone.add if self.state[be] == api.GONE else self.gone.discard)(be)
+        if ready and self.failed[be]:
+            self.marred.add(be)
+
+    def _forget_gone(self):
+        """Places of engines that have gone, and that nothing hangs on, are given to others."""
+        if not self.gone:
+            return
+        used = {be for cmd in self.commands.values() for be in (cmd.engine, cmd.ran_engine)}
+        used.update(row[1] for row in self.lingering)
+        over = [be for be in self.gone if be not in used and self.now > self.born[be] + self.deal.cold_us]
+        for be in sorted(over, key=lambda be: self.sequence[be]):
+            self._set_stage(be, 0)
+            del self.index[self.ids[be]]
+            self.free.append(be)
+            for of_engines in (self.gone, self.marred, self.stuck_at):
+                of_engines.discard(be)
+
     def command(self, now, ident, profile, tenant, key, timeout_at, work, need, dataset, repeat):
         """A command arrived."""
         self.now, self.out = now, []
@@ -320,7 +351,8 @@
         if step:
             self._occupy(cmd.engine, cmd.threads, step)
         if cmd.stuck and to in (HELD, ENDED):
-            cmd.stuck, self.stuck[cmd.engine] = False, self.stuck[cmd.engine] - 1
+            cmd.stuck = False
+            self._count_stuck(cmd.engine, -1)
         cmd.state = to
         if to == HELD:
             self._hold(cmd)
@@ -379,7 +411,8 @@
             self._move(cmd, LEAVING)
         elif self.now + fresh <= cmd.until:
             if age >= RUNS[2] * fresh and not cmd.stuck:
-                cmd.stuck, self.stuck[cmd.engine] = True, self.stuck[cmd.engine] + 1
+                cmd.stuck = True
+                self._count_stuck(cmd.engine, 1)
             heappush(self.due, (int(self.now + RUNS[0] * fresh) + 1, cmd.order, cmd, cmd.sends))
 
     def _finish(self, cmd, to=ENDED):
@@ -474,6 +507,14 @@
     def _failing(self, be):
         return self.failed[be] * self._fresh(self.failed_at[be])   # the share of failures there, as it fades
 
+    def _median_failing(self):
+        """Of the ready ones. While fewer than half have any failures it is none, and nothing is walked."""
+        if 2 * len(self.marred) >= len(self.ready):
+            self.marred = {be for be in self.marred if be in self.ready and self._failing(be) > NO_FAILURES}
+        if not self.ready or 2 * len(self.marred) < len(self.ready):
+            return 0.0
+        return median(map(self._failing, self.ready))
+
     def _room(self, busy, most):
         return min(most, max(1.0, BUSY[0] / max(busy, 0.01)))   # how far a bound widens under that load
 
@@ -499,17 +540,26 @@
             return cap * (1.0, SAMPLE_AT[1], SAMPLE_AT[0])[self.stage[be] - 1]
         return min(cap, self.bound[be]) if self.bound[be] and self._pressed(be) else cap
 
+    def _set_stage(self, be, stage):
+        """Which sample is being taken there, 0: none; of one engine at a time."""
+        self.stage[be] = stage
+        if stage:
+            self.sampled = be
+        elif self.sampled == be:
+            self.sampled = -1
+
     def _sample(self, be):
         """Throughput at the cap, at P1 and at P0, each for a window under pressure, then the fit."""
         if not self._pressed(be):
-            self.stage[be] = 0
-        elif not any(self.stage) and self.now >= self.fit_at[be] and self._limit(be) > SAMPLE_AT[2]:
+            self._set_stage(be, 0)
+        elif self.sampled < 0 and self.now >= self.fit_at[be] and self._limit(be) > SAMPLE_AT[2]:
             self.fit_at[be] = self.now + REFIT_US[0]   # one engine at a time: no swing in step
-            self.stage[be], self.stage_at[be], self.work_done[be], self.samples[be] = 1, self.now, 0.0, ()
+            self.stage_at[be], self.work_done[be], self.samples[be] = self.now, 0.0, ()
+            self._set_stage(be, 1)
         elif self.stage[be] and self.now >= self.stage_at[be] + REFIT_US[1]:
             self.samples[be] = (self._limit(be), self.work_done[be] / (self.now - self.stage_at[be]),
                                 *self.samples[be])
-            self.stage[be] = (self.stage[be] + 1) % 4
+            self._set_stage(be, (self.stage[be] + 1) % 4)
             self.stage_at[be], self.work_done[be] = self.now, 0.0
             if not self.stage[be]:
                 self.bound[be] = fit_bound(*self.samples[be])
@@ -533,7 +583,11 @@
             not self.parts or all(part.may(n) for part, n in self._claims(cmd, be)))
 
     def _few_stuck(self):
-        return 2 * sum(self.stuck[be] > 0 for be in self.ready) < len(self.ready)   # not most of the fleet
+        return 2 * sum(be in self.ready for be in self.stuck_at) < len(self.ready)   # not most of the fleet
+
+    def _count_stuck(self, be, step):
+        self.stuck[be] += step
+        (self.stuck_at.add if self.stuck[be] > 0 else self.stuck_at.discard)(be)
 
     def _choose(self, cmd):
         """Two drawn at random from the data set's homes (all gateways rank them alike), and one from all."""
@@ -541,25 +595,29 @@
             return -1
         # Under pressure all locations: guards against one that is busier than the others. Harm: crossings.
         wide = not self.deal.crossing_costs or not self.near or self.slow > PRESSURE
-        pool, spot = self.ready if wide else self.near, (cmd.dataset, wide)
-        if spot not in self.ranks:
-            self.ranks[spot] = sorted(pool, key=lambda be: mix(self.ids[be], cmd.dataset))
-        part, rest = self.asked.get(cmd.dataset, 0.0) / (self.asked_all + HOMES[1]), self.ranks[spot]
-        homes, half = rest[:HOMES[0] + int(part * len(pool) * HOMES[2])], len(pool) // 2
+        pool = self.ready if wide else self.near
+        ranking, size = pool.ranked(cmd.dataset), len(pool)
+        part = self.asked.get(cmd.dataset, 0.0) / (self.asked_all + HOMES[1])
+        homes, rest, half = range(min(size, HOMES[0] + int(part * size * HOMES[2]))), range(size), size // 2
         if half and any(kind.stands_still for kind in self.deal.profiles):   # loads: a half apart
             homes, rest = (rest[half:], rest[half:]) if cmd.kind.loads else (homes[:half], rest[:half])
         n, seen = 2 + (not cmd.short and self._limit(pool[0]) < cmd.threads), set()   # counts say nothing
-        drawn = self._drawn(cmd, homes, n, [], seen)
-        drawn = self._drawn(cmd, rest, max(2, n - 1 + len(drawn)), drawn, seen)
-        drawn = drawn or self._drawn(cmd, self.ready, 2, [], seen)
-        return min(drawn, key=lambda be: self._weigh(cmd, be, be in homes), default=-1)
-
-    def _drawn(self, cmd, pool, want, drawn, seen):
-        """Engines drawn by chance; where few may take the command, by a walk from a point drawn at random."""
-        n, first = len(pool), int(self.draw() * len(pool))
-        for at in [int(self.draw() * n) for _ in range(min(4, n))] + list(range(first, first + n)):
-            be = pool[at % n]   # each looked at once
-            if len(drawn) < want and be not in seen and not seen.add(be) and self._fits(cmd, be):
+        drawn = self._drawn(cmd, ranking, homes, n, [], seen)
+        drawn = self._drawn(cmd, ranking, rest, max(2, n - 1 + len(drawn)), drawn, seen)
+        drawn = drawn or self._drawn(cmd, self.ready, range(len(self.ready)), 2, [], seen)
+        return min(drawn, default=-1, key=lambda be: self._weigh(
+            cmd, be, ranking.stands_in(homes, self.ids[be], be)))
+
+    def _drawn(self, cmd, pool, places, want, drawn, seen):
+        """Engines drawn by chance from these places of a list; where few may take the command, by a walk from
+        a point drawn at random, as far as it may go: the work must not grow with the fleet."""
+        n, first = len(places), int(self.draw() * len(places))
+        draws = [int(self.draw() * n) for _ in range(min(4, n))]
+        for at in chain(draws, range(first, first + min(n, WALK_MOST))):
+            if len(drawn) >= want:
+                break
+            be = pool.engines[places[at % n]]   # each looked at once
+            if be not in seen and not seen.add(be) and self._fits(cmd, be):
                 drawn.append(be)
         return drawn
 
@@ -584,8 +642,9 @@
             bad, step = outcome != api.ANSWERED, SICK[3] if silent else EASE
             left, self.failed_at[be] = self._failing(be), self.now
             self.failed[be] = left + step * (bad - left)
-            if bad and self.ready:
-                self.usual_failed = median(map(self._failing, self.ready))
+            if bad:
+                self.marred.add(be)
+                self.usual_failed = self._median_failing()
         self.full_until[be] = self.now + FULL_US if outcome == api.FULL else self.full_until[be]
         if outcome == api.FULL or runs_on:
             self.long = max(LONG_PART[0], self.long * LONG_PART[2])
