Starts by the monotonic clock; the register's transactions are whole; its leases go on

Wall clock: starts of engines are told as Unix time and were compared with this machine's clock as it was when the process began. Starts told as news correct the clock: the least age seen is the most that it can be ahead. Still open: a configuration's list, until the first news.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -20,6 +20,7 @@
 from gullhold.net.front import OPEN_MOST, RESULT_MOST
 from gullhold.net.links import Engine, Exchange, Link
 from gullhold.net.pipe import UNSURE
+from gullhold.net.start_times import StartTimes
 
 NOTES = {b"share": api.PROGRESS, b"short": api.SPILLS, b"held": api.WAITS}
 OUTCOMES = ("answered", "error", "full", "timed out", "no connection", "reset", "cancelled", "moot")
@@ -76,6 +77,7 @@
         self.now, self.serial, self.timer_serial, self.tags = self.clock(), 0, 0, 0
         self.owed, self.txns, self.engines, self.links = {}, {}, {}, set()
         self.holding = set()   # links that hold a descriptor, ended or not; their threads take them out
+        self.starts = StartTimes()
         self.listed = Event()  # the coordinator has told what changed since the configuration, or can't
         self.leaving_at, self.settled_at, self.stopped, self.known = 0, 0, False, False
         self.closed = self.ended = False   # what comes now is turned away at once; the thread is over
@@ -478,6 +480,7 @@
                 engine.address = address
                 for link in engine.links:
                     link.retired = True
+        entries = self.starts.corrected(self.now, entries, news=self.known)
         states = {entry[0]: entry[4] for entry in entries}
         self.counters.add("list changes")
         for ident in list(self.engines) if whole else states:   # the work follows what changed
@@ -494,6 +497,8 @@
 
     def _part(self, engine):
         """What is gone and has no link left is forgotten."""
+        if engine.state == api.GONE:
+            self.starts.forget(engine.id)
         if engine.state == api.GONE and not engine.links:
             self.engines.pop(engine.id, None)
 
--- a/gullhold/standins/deployment.py
+++ b/gullhold/standins/deployment.py
@@ -51,8 +51,8 @@
     }
 
 
-def event(index, *members, whole=False):
-    """One event of the coordinator."""
+def event(index, *members, whole=False, started_ms=0):
+    """One event of the coordinator; started_ms: of all its members."""
     return {
         "index": index,
         "endpoints": {
@@ -67,7 +67,7 @@
                     "cell": 0,
                     "phase": phase,
                     "size": 1,
-                    "up_since_ms": 0,
+                    "up_since_ms": started_ms,
                 }
                 for ident, address, phase in members
             ],
--- a/gullhold/standins/register/server.py
+++ b/gullhold/standins/register/server.py
@@ -86,8 +86,11 @@
         """Ends leases, for ever; for a thread."""
         while not self.stopped:
             time.sleep(LOOK_S)
-            for ident in self.store.expire():
-                self.note("lease ended", lease=ident, revision=self.store.revision)
+            try:
+                for ident in self.store.expire():
+                    self.note("lease ended", lease=ident, revision=self.store.revision)
+            except (sqlite3.Error, OSError) as fault:   # a disk that is full for a while: leases end later
+                print(f"gullhold: leases: {fault}", file=sys.stderr, flush=True)
 
     def handle_error(self, *_):
         """A client that went away is no fault."""
--- a/gullhold/standins/register/store.py
+++ b/gullhold/standins/register/store.py
@@ -4,6 +4,7 @@
 import sqlite3
 import time
 from bisect import bisect_right
+from contextlib import contextmanager, suppress
 from threading import Condition
 
 SCHEMA = """
@@ -62,6 +63,19 @@
         """Seconds, by this store's own clock."""
         return time.monotonic() * self.rate
 
+    @contextmanager
+    def _transaction(self):
+        """All of it, or nothing, in the file. A statement or a sync that fails undoes what was begun: guards
+        against a transaction that stays open, in which no other could begin any more."""
+        self.db.execute("begin immediate")
+        try:
+            yield
+            self.db.execute("commit")
+        except BaseException:
+            with suppress(sqlite3.Error):   # some failures have undone it already
+                self.db.execute("rollback")
+            raise
+
     # Leases
 
     def grant(self, ttl_s):
@@ -165,18 +179,17 @@
             place += 1
         if not rows and not ended:
             return
-        self.db.execute("begin immediate")
-        if rows:
-            self.db.executemany("insert into past values (?, ?, ?, ?, ?, ?, ?)", rows)
-            self.db.executemany("insert or replace into kv values (?, ?, ?, ?, ?, ?)", [
-                (key, item.value, item.born, item.changed, item.version, item.lease)
-                for key, item, _ in leases if item])
-            self.db.executemany("delete from kv where key = ?",
-                                [(key,) for key, item, _ in leases if not item])
-            self.db.execute("insert or replace into told values ('revision', ?)", (revision,))
-        if ended:
-            self.db.execute("delete from leases where id = ?", (ended,))
-        self.db.execute("commit")
+        with self._transaction():
+            if rows:
+                self.db.executemany("insert into past values (?, ?, ?, ?, ?, ?, ?)", rows)
+                self.db.executemany("insert or replace into kv values (?, ?, ?, ?, ?, ?)", [
+                    (key, item.value, item.born, item.changed, item.version, item.lease)
+                    for key, item, _ in leases if item])
+                self.db.executemany("delete from kv where key = ?",
+                                    [(key,) for key, item, _ in leases if not item])
+                self.db.execute("insert or replace into told values ('revision', ?)", (revision,))
+            if ended:
+                self.db.execute("delete from leases where id = ?", (ended,))
         self.leases.pop(ended, None)
         for key, item, old in leases:
             if old and old.lease in self.leases:
@@ -191,7 +204,8 @@
             self.past += [(row[0], *row[2:]) for row in rows]
             self.revision = revision
             if len(self.past) > 2 * HISTORY:
-                self.drop(self.past[-HISTORY][0])
+                with suppress(sqlite3.Error):   # the change itself is told and kept; the next one tries again
+                    self.drop(self.past[-HISTORY][0])
         self.lock.notify_all()
 
     # History
@@ -200,12 +214,11 @@
         """Forget changes before this revision."""
         with self.lock:
             revision = min(revision, self.revision)
+            with self._transaction():
+                self.db.execute("delete from past where revision < ?", (revision,))
+                self.db.execute("insert or replace into told values ('first', ?)", (revision,))
             self.past = self.past[bisect_right(self.past, revision - 1, key=lambda row: row[0]):]
             self.first = revision
-            self.db.execute("begin")
-            self.db.execute("delete from past where revision < ?", (revision,))
-            self.db.execute("insert or replace into told values ('first', ?)", (revision,))
-            self.db.execute("commit")
             self.lock.notify_all()
 
     def since(self, revision, start, end, seconds):
--- /dev/null
+++ b/tests/faults/test_clock.py
@@ -0,0 +1,58 @@
+"""A wall clock that is off, or stepped, moves no deadline, no window and no warming of engines."""
+
+import signal
+import time
+from contextlib import suppress
+
+import pytest
+from serving import PATIENCE, until
+
+from faults.plan import Plan
+from faults.traffic import Played
+from gullhold.standins.coordinator import Feed
+from gullhold.standins.deployment import event
+
+HOUR_S = 3600
+WARM_S = 3.0       # s that engines take to warm up here
+
+
+def until_or_late(true):
+    """Wait for it; a machine that is busy with other tests may need longer than any wait here allows."""
+    with suppress(AssertionError):
+        until(true)
+
+
+@pytest.mark.parametrize("off_s", [-HOUR_S, HOUR_S])
+def test_an_engine_that_starts_is_cold_for_its_time_whatever_the_wall_clock_says(tmp_path, off_s):
+    """With a clock ahead it was flooded at once, with one behind it got nothing for an hour."""
+    plan, feed = Plan(tmp_path), Feed()
+    plan.step_wall_clock(off_s)
+    played = Played(tmp_path, plan, engines=2)
+    first, second = played.engines
+    began = played.told["known"]["updates"][0]
+    began["endpoints"]["members"] = began["endpoints"]["members"][:1]
+    played.told["settings"]["rules"] |= {"warm_after": WARM_S, "cold_from": 0.1, "tip_after": 1.0}
+    played.told["settings"]["balancers"] = 50     # our part of what a cold engine stands is small
+    played.told["coordinator"] = feed.address
+    with played:
+        feed.say(event(2, ("s-1", second.address, "ready"), started_ms=int(time.time() * 1000)))
+        played.ask(6, burst=1)
+        until(lambda: first.fetches >= 60)   # within a second or so: it is cold for three
+        cold, share = second.fetches, second.fetches / first.fetches
+        for _ in range(3):   # it takes its share, slowly: that of one gateway of fifty
+            until_or_late(lambda: second.fetches >= cold + 30)
+        assert second.fetches >= cold + 30 and share <= 0.25 and not played.play(0.1)
+
+
+@pytest.mark.parametrize("step_s", [-HOUR_S, 5, HOUR_S])
+def test_a_step_of_the_wall_clock_costs_no_request_and_ends_none_early(tmp_path, step_s):
+    plan = Plan(tmp_path)
+    with Played(tmp_path, plan) as played:
+        played.ask(4)
+        time.sleep(0.4)
+        plan.step_wall_clock(step_s)
+        assert not played.play(0.8) and played.record.counts["answered"] > 100
+        assert set(played.record.counts) == {"answered"}
+        began = time.monotonic()
+        played.process.send_signal(signal.SIGTERM)
+        assert played.process.wait(PATIENCE) == 0 and time.monotonic() - began < 4
--- a/tests/faults/traffic.py
+++ b/tests/faults/traffic.py
@@ -66,6 +66,7 @@
 
     def __init__(self, record, resets=0.0, seed=1):
         self.record, self.conns, self.resets, self.draw = record, [], resets, Random(seed).random
+        self.fetches = 0
         self.sock, self.address = listening()
         Thread(target=self._accept, daemon=True).start()
 
@@ -103,6 +104,7 @@
         if verb == b"alive":
             conn.sendall(resp.encode(txn, b"alive"))
         elif verb == b"fetch":
+            self.fetches += 1
             pages, body = self.record.asked.get(txn, (0, None))
             if words[2] != body:
                 self.record.wrong(f"an engine was sent what no client had sent: {words}")
--- /dev/null
+++ b/tests/test_start_times.py
@@ -0,0 +1,61 @@
+"""Starts of engines where this machine's wall clock is off: no engine is held warmer than it is."""
+
+import pytest
+
+from gullhold.net.start_times import PLAUSIBLE_US, StartTimes
+
+S = 1_000_000
+NOW = 1_790_000_000 * S   # us of Unix time, by our clock
+
+
+def row(ident, born):
+    """An entry of the list as the core has it; what stands between does not matter here."""
+    return ident, 0, 1.0, 0, 1, 0, born
+
+
+def started(starts, now, ident, born, news=True):
+    """The start of one engine after it is told."""
+    return {entry[0]: entry[-1] for entry in starts.corrected(now, [row(ident, born)], news)}[ident]
+
+
+@pytest.mark.parametrize("off_s", [-3600, -5, -1, 0, 1, 5, 3600])
+def test_a_start_told_as_news_is_never_taken_for_older_than_it_is(off_s):
+    """A clock ahead by an hour took a cold engine for warm, one behind a warm one for cold, for the hour."""
+    starts, off = StartTimes(), off_s * S
+    for n, delay in enumerate((2 * S, S // 10, 3 * S, S // 100)):
+        real_now = NOW + 20 * S * n
+        found = started(starts, real_now + off, n, real_now - delay)
+        age = real_now + off - found
+        assert 0 <= age <= delay
+        assert age >= delay - 2 * S   # off by no more than the shortest delay seen
+
+
+def test_the_same_start_told_again_only_grows_older():
+    starts = StartTimes()
+    first = started(starts, NOW, 1, NOW - 2 * S)
+    assert first == NOW
+    started(starts, NOW + S, 2, NOW + S - 1000)   # news came faster: our clock is right after all
+    assert started(starts, NOW + 2 * S, 1, NOW - 2 * S) == NOW - 2 * S + 1000
+
+
+def test_an_engine_that_is_no_late_start_stays_so_and_one_gone_is_forgotten():
+    starts = StartTimes()
+    assert started(starts, NOW, 1, 0) == 0
+    started(starts, NOW, 2, NOW - S)
+    starts.forget(2)
+    assert not starts.told and not starts.rows
+
+
+@pytest.mark.parametrize("off_s", [-3600, 3600])
+def test_starts_of_the_configuration_are_corrected_once_news_shows_that_the_clock_is_off(off_s):
+    starts, off = StartTimes(), off_s * S
+    started(starts, NOW + off, 1, NOW - 3 * S, news=False)
+    news = starts.corrected(NOW + S + off, [row(2, NOW + S - 1000)], news=True)
+    found = {entry[0]: entry[-1] for entry in news}
+    assert 0 <= NOW + S + off - found[1] <= 4 * S and found[1] == NOW + off - 3 * S + 1000
+
+
+def test_starts_of_the_configuration_stay_as_they_are_where_the_clock_is_right():
+    starts = StartTimes()
+    assert started(starts, NOW, 1, NOW - 3 * S, news=False) == NOW - 3 * S
+    assert len(starts.corrected(NOW + S, [row(2, NOW + S - PLAUSIBLE_US // 2)], news=True)) == 1
