Events of requests and connections are logged with their reasons, at a bounded rate

Each is an event now (request, connection, state from and to, reason), logged at two lines a second and kind after a burst of twenty; the last 400 are written out on SIGUSR1.

--- a/gullhold/fleet/errands.py
+++ b/gullhold/fleet/errands.py
@@ -24,6 +24,8 @@
     tell(number, state, why): called once for each command that was asked for. bits: of chance, for ids.
     """
 
+    peer = ("", "fleet")   # where it connects from, as other clients have it
+
     def __init__(self, core, reader, tell, bits):
         self.core, self.reader, self.tell, self.bits = core, reader, tell, bits
         self.open, self.waiting, self.taken_back = {}, {}, set()
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -17,6 +17,7 @@
 from gullhold.net import endings, resp, thrift
 from gullhold.net.coordinator import FIRST_WORD_US
 from gullhold.net.endings import Ending, Malformed
+from gullhold.net.eventlog import CLOSE, GIVEN_UP, REFUSAL, RETRY, EventLog, Happened
 from gullhold.net.front import OPEN_MOST, RESULT_MOST
 from gullhold.net.links import Engine, Exchange, Link
 from gullhold.net.pipe import UNSURE
@@ -49,12 +50,14 @@
     """A command that was taken: whom it is owed to (None once answered), and its send that is out."""
 
     __slots__ = (
-        "client", "grant", "holds", "number", "priority", "request", "send", "sends", "seq", "timeout_at")
+        "client", "ended", "grant", "holds", "number", "priority", "request", "send", "sends", "seq",
+        "timeout_at")
 
     def __init__(self, number, client, seq, request, timeout_at):
         self.number, self.client, self.seq, self.request = number, client, seq, request
         self.timeout_at, self.grant, self.priority, self.send, self.sends = timeout_at, 0.0, 1, None, 0
         self.holds = len(request.body)   # bytes of the room for statements
+        self.ended = ""   # how its last send ended
 
 
 class Core:
@@ -77,7 +80,7 @@
         self.now, self.serial, self.timer_serial, self.tags = self.clock(), 0, 0, 0
         self.owed, self.txns, self.engines, self.links = {}, {}, {}, set()
         self.holding = set()   # links that hold a descriptor, ended or not; their threads take them out
-        self.starts = StartTimes()
+        self.starts, self.events = StartTimes(), EventLog()
         self.listed = Event()  # the coordinator has told what changed since the configuration, or can't
         self.leaving_at, self.settled_at, self.stopped, self.known = 0, 0, False, False
         self.closed = self.ended = False   # what comes now is turned away at once; the thread is over
@@ -228,6 +231,9 @@
                                not cmd.client, 0, 0, 0, ()))
             return
         cmd.send = send
+        if send.number:
+            self.events.add(Happened(
+                self.now, RETRY, cmd.ended, cmd.request.txn, before="held", after="sent"))
         if self.door:
             self.door.sent(number)
         link = self._link_for(engine, cmd.request.txn)
@@ -306,10 +312,15 @@
         cmd = self.owed.get(number)
         if cmd and cmd.client:
             self.counters.add(word)
+            self._refused(cmd, word)
             self._answer(cmd, message(cmd))
             if cmd.send:   # given up with the command
                 self._stop_send(cmd.send, api.CANCELLED)
 
+    def _refused(self, cmd, reason):
+        self.events.add(Happened(self.now, REFUSAL, reason, cmd.request.txn, cmd.client.peer[1],
+                              "sent" if cmd.send else "held", "answered"))
+
     def _act_timer(self, delay_us, token):
         self._later(self.now + delay_us, self._ask, None, self.gateway.timer, token)
 
@@ -383,6 +394,7 @@
                 self._hand(cmd)
             else:
                 self.counters.add("turned away at the door")
+                self._refused(cmd, "turned away at the door")
                 frames.setdefault(cmd.client, []).append(thrift.shed(cmd.seq, self._when(*told)))
                 self._settle(cmd)
         for client, parts in frames.items():   # thousands at once cost one write for each connection
@@ -420,8 +432,10 @@
         """A client's connection is read no more. One that closed, or broke, has gone: nothing of it goes out
         any more. One that sent what makes no sense is still there: each of its commands gets its answer."""
         self.counters.add(f"client connection: {ending.value}")
-        (logger.warning if client.open and ending in endings.OURS else logger.debug)(
-            "client connection {} {}; {} requests open", ending.value, text, len(client.open))
+        unusual = bool(client.open) and ending in endings.OURS
+        self.events.add(Happened(
+            self.now, CLOSE, f"{ending.value} {text}".rstrip(), connection=f"client {client.peer[1]}",
+            before="open", after="closed", open=len(client.open)), unusual)
         for cmd in list(client.open.values()):
             (self._give_up if ending in endings.STILL_THERE else self._gone)(cmd)
         client.pipe.finish()   # what is under way goes out; the reader closes
@@ -630,7 +644,8 @@
             del link.open[cmd.request.txn]
             link.used_at = self.now
         send.message, send.pages = b"", ()
-        self.counters.add(f"sends {OUTCOMES[outcome]}")
+        cmd.ended = OUTCOMES[outcome]
+        self.counters.add(f"sends {cmd.ended}")
         closed = cmd.client is None
         if self.door:
             self.door.back(self.now, cmd.number, send.told[0], outcome not in api.NEVER_RAN)
@@ -656,6 +671,9 @@
         `alive` behind the abort has been answered; by then no late answer can come either.
         """
         cmd, link, txn = send.command, send.link, send.command.request.txn
+        self.events.add(Happened(
+            self.now, GIVEN_UP, OUTCOMES[outcome], txn, f"engine {link.engine.address}" if link else "",
+            "streaming" if send.pages else "sent", "given up"))
         if link and link.open.get(txn) is send:
             if link.pipe.withdraw(send.message):
                 outcome = api.MOOT
@@ -702,8 +720,10 @@
         link.engine.closed = max(0, link.engine.closed + (
             -1 if cut or ending in SPOILT else ending == Ending.CLOSED))
         routine = ending in (Ending.IDLE, Ending.RETIRED) or ending == Ending.CLOSED and not link.open
-        (logger.debug if routine else logger.warning)(
-            "link to {} {} {}; {} sends open", link.engine.address, ending.value, text, len(link.open))
+        before = "open" if link.connection else "connecting"
+        self.events.add(Happened(
+            self.now, CLOSE, f"{ending.value} {text}".rstrip(), connection=f"engine {link.engine.address}",
+            before=before, after="closed", open=len(link.open)), not routine)
         # Where we closed, the engine learns of it later: until then its sends are still out there.
         at = self.now + (self.deal.connect_us if ending in endings.OURS else 0)
         for send in list(link.open.values()):
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -189,7 +189,7 @@
     def run(self, report_s):
         """Serve until the core has ended; the exit status."""
         acts = {signal.SIGTERM: self.leave, signal.SIGINT: self.leave, signal.SIGHUP: self.reread.now,
-                signal.SIGUSR1: self.report}
+                signal.SIGUSR1: self.dump}
         wait_for_end(self.signals, acts, self.report, report_s)
         if self.fleet:
             self.fleet.gone.wait(FLEET_S)
@@ -209,6 +209,12 @@
         for place, line in enumerate(joined(parts, LOG_LINE_MOST)):
             logger.info("{} {}", "counters, continued:" if place else "counters:", line)
 
+    def dump(self):
+        """SIGUSR1: the counters, and the last events."""
+        self.report()
+        for line in self.core.events.lines():
+            logger.info("kept {}", line)
+
     def _run_core(self):
         try:
             self.core.run(self.told["changes"])
--- /dev/null
+++ b/tests/test_eventlog.py
@@ -0,0 +1,51 @@
+"""What is logged of requests and connections: every event is kept, lines come at a bounded rate."""
+
+import signal
+import time
+
+from serving import free_port, listens, until
+
+from gullhold.net import eventlog
+from gullhold.net.eventlog import CLOSE, RETRY, EventLog, Happened
+from gullhold.standins.client import Caller
+from gullhold.standins.deployment import config
+from gullhold.standins.scripted import Engine, ok, resets
+
+
+def test_lines_keep_to_their_rate_and_what_is_left_out_is_counted(monkeypatch):
+    logged, log = [], EventLog()
+    monkeypatch.setattr(eventlog.logger, "info", lambda form, *words: logged.append(form.format(*words)))
+    for n in range(1000):   # within a second
+        log.add(Happened(1_000_000 + n * 1000, RETRY, f"reset {n}"))
+    assert eventlog.BURST <= len(logged) <= eventlog.BURST + eventlog.RATE_PER_S + 1
+    log.add(Happened(9_000_000, RETRY, "the last"))
+    assert "left_out=" in logged[-1] and "reason=the_last" in logged[-1]
+    assert len(log.lines()) == eventlog.KEPT and log.lines()[-1].startswith("at_us=9000000 event=retry")
+
+
+def test_a_kind_that_comes_often_keeps_no_other_from_the_log(monkeypatch):
+    logged, log = [], EventLog()
+    monkeypatch.setattr(eventlog.logger, "info", lambda form, *words: logged.append(form.format(*words)))
+    for n in range(200):
+        log.add(Happened(n, RETRY, "reset"))
+    log.add(Happened(200, CLOSE, "closed", connection="engine 127.0.0.1:1", before="open", after="closed"))
+    assert "event=close connection=engine_127.0.0.1:1 from=open to=closed reason=closed" in logged[-1]
+
+
+def test_a_request_that_failed_and_went_again_can_be_followed_in_the_log(launch, tmp_path):
+    port, engine, log = free_port(), Engine(resets, ok()), tmp_path / "log"
+    with open(log, "wb") as file:
+        process = launch(config(engine) | {"listen": f"127.0.0.1:{port}"}, stderr=file)
+    until(lambda: listens(port))
+    client = Caller(("127.0.0.1", port))
+    seq = client.ask(txn=b"00000000000000ab")
+    assert client.answer() == (seq, b"a\tb\tc\n")
+    process.send_signal(signal.SIGUSR1)
+    until(lambda: "kept at_us=" in log.read_text())
+    time.sleep(0.1)
+    text = log.read_text()
+    address = engine.address
+    assert f"event=close connection=engine_{address} from=open to=closed open=1 reason=reset" in text
+    assert "event=retry request=00000000000000ab from=held to=sent reason=reset" in text
+    assert all(len(line) < 300 for line in text.splitlines()) and "Traceback" not in text
+    engine.close()
