Large fleets: one order for all data sets, engines used lately first, changes told together

Causes: 40 orders of 3,200 engines sorted and kept (10 ms each under load); a wake-up of two threads for each of 3,840 changes; a new engine, and so a new connection, for each command. Change: over 256 engines all data sets share one order, each from a point of its own (Arc); changes that follow each other within 10 ms are told together; over 256 engines one that answered for the data set lately is among those drawn, and goes first only where no other is less busy.

--- a/gullhold/net/coordinator.py
+++ b/gullhold/net/coordinator.py
@@ -19,6 +19,7 @@
 
 STATES = {"ready": api.READY, "draining": api.DRAINING, "gone": api.GONE}
 FIRST_WORD_US = 100_000   # us in which news is told that there is: twice the page's time for crossings
+TOGETHER_S = 0.01     # s for which changes are gathered while they follow each other so closely
 FAULT_WAIT_S = 0.1   # s until the stream is followed anew after a fault of ours
 SILENT_US = 2_000_000   # two of the seconds' numbers, which come once a second by the protocol
 
@@ -100,12 +101,32 @@
             self.last = index
 
 
+class Batch:
+    """Changes of the list that are told in one call."""
+
+    def __init__(self):
+        self.entries, self.addresses, self.whole, self.last, self.events = [], {}, False, 0, 0
+        self.named = set()
+
+    def names_any(self, entries):
+        """Whether one of these engines is in it: what was told first has to take hold first."""
+        return any(entry[0] in self.named for entry in entries)
+
+    def add(self, entries, addresses, whole, index):
+        """One more event."""
+        self.entries += entries
+        self.addresses.update(addresses)
+        self.named.update(entry[0] for entry in entries)
+        self.whole, self.last, self.events = whole, index, self.events + 1
+
+
 class Coordinator:
     """Follows the stream, for ever, and hands each event to the core."""
 
     def __init__(self, address, last, core, most, names):
         self.last, self.core, self.most, self.names = last, core, most, names
         self.address, self.connection, self.moved = address and host_port(address), None, Event()
+        self.told_at = float("-inf")   # s of the monotonic clock: when the core was told last
         self.taking = False   # bytes came, and what they tell is not handed on yet
         self.lost = lambda: None   # called from this thread whenever the stream has ended: a look for a move
         self.may_call = lambda: True   # whether the service may be called now: a budget of the fleet's
@@ -170,17 +191,39 @@
                 if not came(sock, FIRST_WORD_US):   # what has news tells it at once: there is none
                     self.core.listed.set()
                 while address == self.address and self._receive(stream, sock):
-                    for event in stream.events():
-                        self.core.list_changed(*members(event, self.core.deal, self.names))
-                        self.last = event["index"]
+                    self._hand_on(stream)
                     self.core.listed.set()
                 return Ending.CLOSED if address == self.address else Ending.RETIRED
             finally:
                 self.taking, self.connection = False, None
 
+    def _hand_on(self, stream):
+        """Tell the core of the events that have come: those that came together in one call."""
+        batch = Batch()
+        try:
+            for event in stream.events():
+                entries, addresses, whole = members(event, self.core.deal, self.names)
+                if whole or batch.names_any(entries):
+                    self._tell(batch)
+                    batch = Batch()
+                batch.add(entries, addresses, whole, event["index"])
+                if whole:
+                    self._tell(batch)
+                    batch = Batch()
+        finally:   # what came before a line that makes no sense holds
+            self._tell(batch)
+
+    def _tell(self, batch):
+        if batch.events:
+            self.core.list_changed(batch.entries, batch.addresses, batch.whole, batch.events)
+            self.last, self.told_at = batch.last, time.monotonic()
+
     def _receive(self, stream, sock):
         """Some bytes of the stream; none at its end."""
         self.taking = False
+        # Where thousands of changes are told within seconds, a wake-up for each costs more than they do.
+        if time.monotonic() - self.told_at < TOGETHER_S:
+            time.sleep(TOGETHER_S)
         if not came(sock, SILENT_US):
             raise TimeoutError
         self.taking = True   # before they are read: behind() sees them in the one place or the other
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -106,9 +106,9 @@
         """From any thread: have the core make this call."""
         self.queue.put((self.clock(), call, args))
 
-    def list_changed(self, entries, addresses, whole):
-        """From the coordinator's thread: the list of engines changed."""
-        self.first(self._listed, entries, addresses, whole)
+    def list_changed(self, entries, addresses, whole, events=1):
+        """From the coordinator's thread: the list of engines changed, by so many events."""
+        self.first(self._listed, entries, addresses, whole, events)
 
     def first(self, call, *args):
         """From any thread: have the core make this call ahead of all else that waits."""
@@ -486,7 +486,7 @@
 
     # Engines
 
-    def _listed(self, entries, addresses, whole):
+    def _listed(self, entries, addresses, whole, events=1):
         """The list of engines changed."""
         for ident, address in addresses.items():
             engine = self.engines.setdefault(ident, Engine(ident, address))
@@ -496,7 +496,7 @@
                     link.retired = True
         entries = self.starts.corrected(self.now, entries, news=self.known)
         states = {entry[0]: entry[4] for entry in entries}
-        self.counters.add("list changes")
+        self.counters.add("list changes", events)
         for ident in list(self.engines) if whole else states:   # the work follows what changed
             engine = self.engines.get(ident)
             if engine is None:
--- a/gullhold/policy.py
+++ b/gullhold/policy.py
@@ -13,7 +13,7 @@
 from statistics import median
 
 from gullhold import interface as api
-from gullhold.ranking import EngineList
+from gullhold.ranking import RANKED_MOST, EngineList
 
 # Tuned values: each with its unit and the reason for its size.
 THREADS_A_CORE = 2.0      # threads; the design's start for cap and bound
@@ -39,6 +39,8 @@
 SICK = (0.15, 2, 0.7, 0.3)  # share of failures, over times the median, that is sick; part for long ones; step
 JAMMED = (0.1, 1.5)       # share of failures, or slowness, from which load told is no room: half of sick
 NO_FAILURES = 1e-4        # share of failures, as it fades, that is none
+LARGE = RANKED_MOST       # engines beyond which a gateway goes back to those that it has used
+LATELY = (4, 512)         # engines kept for a data set: what one gateway has out there; data sets
 WALK_MOST = 128           # engines looked at from a point drawn at random: more than most fleets have
 EASE = 0.1                # weight of the newest answer in moving figures: about ten count
 FORGOTTEN = 0.02          # commands of a tenant's fading count that no figure would show any more
@@ -129,6 +131,7 @@
         # Engines by id; ready ones, and those of them in our location; gone ones that may still be needed.
         self.index, self.ids, self.free, self.sequences = {}, [], [], 0
         self.ready, self.near, self.gone = EngineList(), EngineList(), set()
+        self.lately = {}   # by data set: engines that answered for it
         self.marred, self.stuck_at, self.sampled = set(), set(), -1   # with failures, stuck sends; sampled
         vars(self).update({name: [] for name in ENGINE})   # parallel arrays under the dense index
 
@@ -602,12 +605,30 @@
         if half and any(kind.stands_still for kind in self.deal.profiles):   # loads: a half apart
             homes, rest = (rest[half:], rest[half:]) if cmd.kind.loads else (homes[:half], rest[:half])
         n, seen = 2 + (not cmd.short and self._limit(pool[0]) < cmd.threads), set()   # counts say nothing
-        drawn = self._drawn(cmd, ranking, homes, n, [], seen)
+        drawn = self._drawn(cmd, ranking, homes, n, self._lately_used(cmd, size, seen), seen)
         drawn = self._drawn(cmd, ranking, rest, max(2, n - 1 + len(drawn)), drawn, seen)
         drawn = drawn or self._drawn(cmd, self.ready, range(len(self.ready)), 2, [], seen)
         return min(drawn, default=-1, key=lambda be: self._weigh(
             cmd, be, ranking.stands_in(homes, self.ids[be], be)))
 
+    def _lately_used(self, cmd, size, seen):
+        """In a large fleet, one that answered for this data set lately, if it may take the command: guards
+        against a connection for each command. It goes first only where no other is less busy."""
+        used = self.lately.get(cmd.dataset) if size > LARGE else None
+        if not used:
+            return []
+        be = used[int(self.draw() * len(used))]
+        seen.add(be)
+        return [be] if be in self.ready and self._fits(cmd, be) else []
+
+    def _use(self, cmd, be):
+        """An engine has answered for a data set."""
+        if len(self.lately) >= LATELY[1]:
+            self.lately.clear()
+        used = self.lately.setdefault(cmd.dataset, deque(maxlen=LATELY[0]))
+        if be not in used:
+            used.append(be)
+
     def _drawn(self, cmd, pool, places, want, drawn, seen):
         """Engines drawn by chance from these places of a list; where few may take the command, by a walk from
         a point drawn at random, as far as it may go: the work must not grow with the fleet."""
@@ -616,7 +637,7 @@
         for at in chain(draws, range(first, first + min(n, WALK_MOST))):
             if len(drawn) >= want:
                 break
-            be = pool.engines[places[at % n]]   # each looked at once
+            be = pool.at(places[at % n])   # each looked at once
             if be not in seen and not seen.add(be) and self._fits(cmd, be):
                 drawn.append(be)
         return drawn
@@ -663,6 +684,8 @@
         if outcome != api.ANSWERED and pace < self.pace[p]:
             return
         if outcome == api.ANSWERED:
+            if len(self.ready) > LARGE:
+                self._use(cmd, be)
             self.bias[p] += EASE * (min(max(work / cmd.work, 0.2), 5.0) - 1.0) * self.bias[p]
             self.work_done[be] += work
             self.best[p] = min(pace, self.best[p] + EASE / 10 * (pace - self.best[p]))
--- a/gullhold/ranking.py
+++ b/gullhold/ranking.py
@@ -6,6 +6,8 @@
 
 from bisect import bisect_left, insort
 
+RANKED_MOST = 256     # engines of a list for which each data set ranks all; larger ones share one order
+RING, ARC = -1, -2    # what the ids of engines, and data sets, are mixed with for that order
 RANKINGS_MOST = 512   # data sets whose ranks are kept; beyond it all are ranked anew when they are asked for
 
 
@@ -43,10 +45,37 @@
         else:
             del self.keys[at], self.engines[at]
 
+    def at(self, place):
+        """The engine at a place."""
+        return self.engines[place]
+
+    def place(self, ident, engine):
+        """Where an engine stands, or None."""
+        at = bisect_left(self.keys, self.key(ident, engine))
+        return at if at < len(self.engines) and self.engines[at] == engine else None
+
     def stands_in(self, places, ident, engine):
         """Whether an engine stands at one of these places."""
-        at = bisect_left(self.keys, self.key(ident, engine))
-        return at in places and self.engines[at] == engine
+        return self.place(ident, engine) in places
+
+
+class Arc:
+    """The one order that data sets of a large list share, from a point of its own on (consistent hashing).
+
+    Ranks of its own for each data set cost a sort and some hundred KB each at thousands of engines.
+    """
+
+    def __init__(self, ring, dataset):
+        self.ring, self.start = ring, bisect_left(ring.keys, (mix(dataset, ARC), 0))
+
+    def at(self, place):
+        """The engine at a place."""
+        return self.ring.engines[(self.start + place) % len(self.ring.engines)]
+
+    def stands_in(self, places, ident, engine):
+        """Whether an engine stands at one of these places."""
+        at = self.ring.place(ident, engine)
+        return at is not None and (at - self.start) % len(self.ring.engines) in places
 
 
 class EngineList:
@@ -66,6 +95,10 @@
     def __getitem__(self, at):
         return self.engines[at]
 
+    def at(self, place):
+        """The engine at a place."""
+        return self.engines[place]
+
     def __contains__(self, engine):
         return engine in self.members
 
@@ -88,6 +121,12 @@
             self.rankings.clear()
 
     def ranked(self, dataset):
+        """The engines in order for a data set: at(place), stands_in(places, id, engine)."""
+        if len(self.engines) > RANKED_MOST:
+            return Arc(self._ranking(RING), dataset)
+        return self._ranking(dataset)
+
+    def _ranking(self, dataset):
         """The Ranking for a data set, with all changes up to now."""
         ranking = self.rankings.get(dataset)
         if ranking is None:
--- a/tests/test_ranking.py
+++ b/tests/test_ranking.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from gullhold.ranking import RANKINGS_MOST, EngineList, Ranking, mix
+from gullhold import ranking
+from gullhold.ranking import ARC, RANKED_MOST, RANKINGS_MOST, RING, EngineList, Ranking, mix
 
 
 @pytest.mark.parametrize("changes", [5, 40, 2000])
@@ -23,12 +24,12 @@
         assert list(kept) == sorted(truth, key=lambda one: truth[one][0]) and len(kept) == len(truth)
         if random.random() < 0.4:
             dataset = random.randrange(RANKINGS_MOST + 20) if step % 3 else 5
-            ranking = kept.ranked(dataset)
+            found = kept.ranked(dataset)
             want = sorted((mix(ident, dataset), engine) for engine, (_, ident) in truth.items())
-            assert ranking.keys == want and ranking.engines == [engine for _, engine in want]
+            assert found.keys == want and found.engines == [engine for _, engine in want]
             for at, (_, one) in enumerate(want):
-                assert ranking.stands_in(range(at, at + 1), truth[one][1], one)
-                assert not ranking.stands_in(range(at), truth[one][1], one)
+                assert found.stands_in(range(at, at + 1), truth[one][1], one)
+                assert not found.stands_in(range(at), truth[one][1], one)
 
 
 def test_work_after_a_change_does_not_grow_with_the_fleet(monkeypatch):
@@ -36,6 +37,7 @@
     kept, built = EngineList(), []
     for engine in range(3200):
         kept.set(engine, engine, engine * 7919, True)
+    monkeypatch.setattr(ranking, "RANKED_MOST", 10_000)
     build = Ranking.build
     monkeypatch.setattr(Ranking, "build", lambda self, members: (built.append(len(members)),
                                                                 build(self, members)))
@@ -52,3 +54,20 @@
         kept.set(step % places, step, step, True)
         kept.set((step + 1) % places, 0, 0, False)
     assert len(kept.changes) <= len(kept) + RANKINGS_MOST + 1 and len(kept) < places
+
+
+def test_in_a_large_list_each_data_set_has_its_own_stretch_of_one_order():
+    kept, size = EngineList(), 2 * RANKED_MOST
+    for engine in range(size):
+        kept.set(engine, engine, engine * 7919, True)
+    order = [engine for _, engine in sorted((mix(engine * 7919, RING), engine) for engine in range(size))]
+    for dataset in range(20):
+        found, homes = kept.ranked(dataset), range(30)
+        start = sum(mix(engine * 7919, RING) < mix(dataset, ARC) for engine in range(size))
+        assert [found.at(place) for place in range(size)] == order[start:] + order[:start]
+        for place in range(size):
+            one = found.at(place)
+            assert found.stands_in(homes, one * 7919, one) == (place in homes)
+    assert list(kept.rankings) == [RING]   # no order is kept for a data set alone
+    kept.set(7, 0, 0, False)
+    assert not kept.ranked(3).stands_in(range(size), 7 * 7919, 7)
