At the end of a process what has come on any connection is answered before its end is said

Saw: with clients that go on asking on open connections until the end, requests written up to 0.9 s before it got no answer: 5 of 6 cases of tests/faults/test_shutdown.py failed (deadlines of 0.3 to 1.5 s, engines that hang or not), one of them with ordinary clients. Causes: connections in a pause were cut at the exit with what lay unread; calls kept in pauses outlasted their clients' time, one pause behind the other; with deadlines under 0.6 s the last answers were given before the last requests came; no end was said on the path of _leave_now. Change: at the end every connection is read to what has come, answered, and its end said (end_clients, _end_soon); a call is kept for four tenths of its client's time at most; the last answers are not before 0.6 s, or 0.35 s behind the deadline if that is sooner.

--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -86,7 +86,7 @@
         self.closed = self.ended = False   # what comes now is turned away at once; the thread is over
         self.lacking, self.gate = lambda rows: None, None   # of a fleet's budgets, of its policy
         self.behind = lambda: False   # whether the coordinator's thread has yet to tell of what has come
-        self.say_end = lambda: None   # tells clients whose connections rest that they end
+        self.end_clients = lambda: None   # ends all clients' connections, once what has come is answered
         self.checks = []   # of a fleet: each stamps what is decided, and knows whether a stamp still holds
         self.sweep_us = max(deal.connect_us, 100_000)   # between looks at links: time to come up
         self.share = max(2, isqrt(deal.streams))   # sends on a shared link: few links, few lost with one
@@ -779,15 +779,19 @@
         self.leaving_at = self.now
         logger.info("leaving: {} commands open", len(self.owed))
         longest = max((profile.timeout_us for profile in self.deal.profiles), default=0)
+        longest = min(longest, LAST_ANSWER_US)
+        # With short deadlines the kill comes soon, and requests come until then: guards against an end before
+        # the last of them is read and answered.
+        last = self.now + max(longest, min(LAST_NEWS_US, longest + FLUSH_US))
         self._later(self.now + LAST_NEWS_US, self._leave_if_done)
-        last = self.now + min(longest, LAST_ANSWER_US)
-        self._later(max(self.now + LAST_NEWS_US, last - CLOSING_US), self._close)
+        self._later(min(max(self.now + LAST_NEWS_US, last - CLOSING_US), last), self._close)
         self._later(last, self._leave_now)
 
     def _leave_if_done(self):
         if self.now >= self.settled_at + FLUSH_US and not any(cmd.client for cmd in self.owed.values()):
             self._later(self.now + FLUSH_US // 2, self._stop)
-            self.say_end()
+            self._close()
+            self.end_clients()
         else:
             self._later(self.now + FLUSH_US // 4, self._leave_if_done)
 
@@ -796,6 +800,7 @@
         self._later(self.now + FLUSH_US // 2, self._stop)   # first: a fault below must not keep us
         for cmd in [cmd for cmd in self.owed.values() if cmd.client]:
             self._give_up(cmd)
+        self.end_clients()
 
     def _close(self):
         """Nothing goes on to the module any more: what waits is answered, and what comes is at once.
--- a/gullhold/net/front.py
+++ b/gullhold/net/front.py
@@ -14,7 +14,6 @@
 from gullhold import interface as api
 from gullhold.door.whose import CLOSED
 from gullhold.net import endings, host_port, set_no_delay, set_read_timeout, statement, thrift
-from gullhold.net.buffer import FIRST
 from gullhold.net.connection import Connection
 from gullhold.net.endings import Ending, Malformed
 from gullhold.net.pipe import Pipe
@@ -22,12 +21,14 @@
 OPEN_MOST = 32         # requests that a client has open on a connection, from the protocol
 RESULT_MOST = 48_000   # bytes of a result, from the protocol
 KEPT_MOST = 32_768     # bytes of calls kept in a pause: 32 of usual size
+KEPT_PART = 0.4        # of the time that its client waits, for which a call is kept in pauses at most
+CLOSED_S = 0.5         # s between reads of a connection that is owed answers, once nothing is taken
+ENDING_MOST = 65_536   # bytes of a connection that are read at once at the end: 32 requests of usual size
 KEPT_LOOK_S = 0.05     # s between reads in a pause once as much is kept: half of what a leaving may take
 SAY_S = 2.0            # s in which a connection says something whole; the page wants an end within 3 s
 IDLE_S = 5.0           # s without a request; usual clients close their own after 4 s
 LOOK_US = 500_000      # us between looks at these two
 REFUSED_S = (0.05, 0.4)   # s, least and most, until the next read after something was turned away at once
-CLOSED_S = 0.5         # s between reads of a connection once nothing is taken any more
 CROSS_S = 0.1          # s in which what was sent has come: twice the page's time for crossings
 DISMISS_S = 0.01       # s between looks at one that is dismissed: the page's time for crossings is 50 ms
 FIGURE = re.compile(rb"[0-9]+(\.[0-9]*)?([eE][+-]?[0-9]{1,2})?\Z")
@@ -178,7 +179,7 @@
         self.pipe.finish(now=True)
 
     def dismiss(self):
-        """End it for idleness; what has come, read or not, is still taken and answered."""
+        """End it for idleness, or at the end; what has come, read or not, is answered first, in no pause."""
         self.over = self.dismissed = True
         self.connection.shutdown(socket.SHUT_RD)
 
@@ -225,10 +226,9 @@
                 if self.pipe.said and not patient:
                     end, patient = min(end, time.monotonic() + CROSS_S), True
                 try:
-                    if not self.connection.sock.recv(FIRST):
-                        if self.pipe.said and not self.dismissed:
-                            break
-                        time.sleep(DISMISS_S)
+                    if not self.connection.sock.recv(ENDING_MOST) and self.pipe.said and not self.dismissed:
+                        break
+                    time.sleep(DISMISS_S)   # one that goes on writing must not keep the others waiting
                 except BlockingIOError:
                     pass
         self.pipe.finish(now=True)
@@ -238,13 +238,15 @@
             more, at = self._receive(), self.core.clock()
             if self.pipe.finishing:
                 return Ending.IDLE
+            if not more and not self.dismissed:
+                return Ending.CLOSED
             if not more:
-                if not self.dismissed:
-                    return Ending.CLOSED
-                if not self.busy():
+                if self.core.closed:
+                    self._end_soon()
+                elif not self.busy():
                     self._rest()
                 time.sleep(DISMISS_S)   # something came just then: more of it may come
-            while self.kept and time.monotonic() >= self.resume_at:
+            while self.kept and (self._pause_left() <= 0 or self._kept_left() <= 0):
                 self._take(*self.kept.popleft())
             for call in self.decoder.calls():
                 self.quiet_at = time.monotonic()
@@ -252,7 +254,9 @@
             if self.refused:   # one write for all of them
                 frames, self.refused = self.refused, []
                 self.put(b"".join(frames))
-                if time.monotonic() >= self.resume_at:   # else what is kept would wait longer and longer
+                if self.core.closed:
+                    self._end_soon()
+                elif time.monotonic() >= self.resume_at:   # else what is kept would wait longer and longer
                     self._pause_longer()
             elif self.pause and time.monotonic() >= self.resume_at:
                 self.pause /= 2 if self.pause > REFUSED_S[0] else float("inf")
@@ -276,12 +280,14 @@
         read slowly, so that a client that asks without end is held back by its own connection; that it has
         left is seen at once all the same.
         """
-        left = self.resume_at - time.monotonic()
+        left = self._pause_left()
         full = left > 0 and self._keeps_most()
         if left <= 0:
             self.kept_size = 0
         elif full and self.connection.left(min(left, KEPT_LOOK_S)):
             return False   # whatever it asked before: guards against sends for one that has left
+        if self.kept:
+            left = min(left, max(self._kept_left(), DISMISS_S))
         wait_us = int(min(left * 1e6 + 1000, LOOK_US)) if left > 0 else (
             int(DISMISS_S * 1e6) if self.resting else LOOK_US)
         if wait_us != self.patience_us:
@@ -292,14 +298,42 @@
         except BlockingIOError:
             return True
         self.kept_size += came if left > 0 and not full else 0
+        if came and self.core.closed:
+            self._receive_rest()
         return came > 0
 
     def _pause_longer(self):
         """Guards all others against those who ask again at once: the pause grows while they do."""
-        grown = min(max(2 * self.pause, REFUSED_S[0]), REFUSED_S[1])
-        self.pause = CLOSED_S if self.core.closed else grown
+        self.pause = min(max(2 * self.pause, REFUSED_S[0]), REFUSED_S[1])
         self._hold_off(self.pause)
 
+    def _end_soon(self):
+        """Nothing is taken any more, and all that had come is answered: say the end, so that what follows is
+        asked elsewhere. One that is owed answers is read slowly, and ends with the last of them."""
+        if self.busy():
+            self._hold_off(CLOSED_S)
+        else:
+            self.pipe.finish()
+
+    def _receive_rest(self):
+        """At the end, all that has come, before it is answered: what comes later crosses the end."""
+        sock, buffer = self.connection.sock, self.decoder.buffer
+        while len(buffer) < ENDING_MOST and self.connection.readable() and buffer.receive(sock):
+            pass
+
+    def _pause_left(self):
+        """s until a pause is over; none where the connection is to end."""
+        return 0.0 if self.dismissed else self.resume_at - time.monotonic()
+
+    def _kept_left(self):
+        """s for which the oldest call that is kept may still wait: a part of the time that its client waits.
+        Guards against pauses, one behind the other, that outlast it."""
+        call, at = self.kept[0]
+        fields = call.args.get((1, thrift.MAP))
+        word = fields.get(b"limit", b"") if isinstance(fields, dict) else b""
+        limit_s = float(word) / 1000 if FIGURE.match(word) else 0.0
+        return KEPT_PART * limit_s - (self.core.clock() - at) / 1e6
+
     def _keeps_most(self):
         """Whether as much is kept, in a pause, as a usual client has open."""
         return len(self.kept) >= OPEN_MOST or self.kept_size > KEPT_MOST
@@ -317,7 +351,7 @@
         """A call was read: taken now, or after the pause; what takes another back is never put off."""
         if call.method == "interrupt":
             self._interrupt(call.args.get((1, thrift.I32)))
-        elif self.kept or time.monotonic() < self.resume_at:
+        elif self.kept or self._pause_left() > 0:
             if self._keeps_most() and call.method == "execute":
                 self.core.counters.add("taken")
                 self.core.counters.add("turned away in a pause")
@@ -440,13 +474,13 @@
         finally:   # its descriptor is given back by now: until then it holds its room
             self.clients.discard(client)
 
-    def finish(self):
-        """From the core, at the end: all that rest are told, and may close first. Not those in a pause: they
-        ask again at once, and would spin on new connections while the last answers go out."""
-        now = time.monotonic()
+    def end_clients(self):
+        """From the core, at the end: what has come on any connection is answered, then its end is said.
+
+        Guards against requests that lie unread when the process ends: their connections are reset.
+        """
         for client in list(self.clients):
-            if client.resume_at <= now:
-                client.pipe.finish()
+            client.dismiss()
 
     def _room(self):
         """Whether one more may come; for it the one goes that has been idle the longest.
--- a/gullhold/net/service.py
+++ b/gullhold/net/service.py
@@ -100,7 +100,7 @@
     except (OSError, ValueError, Refused) as fault:
         raise Unusable(f"can't listen on {told['listen']}: {fault}") from None
     coordinator = Coordinator(told["coordinator"], told["last"], core, most, told["names"])
-    core.behind, core.say_end = coordinator.behind, listener.finish
+    core.behind, core.end_clients = coordinator.behind, listener.end_clients
     return core, {"listener": listener.run, "coordinator": coordinator.run, "flusher": core.flusher.run}
 
 
--- /dev/null
+++ b/tests/faults/test_shutdown.py
@@ -0,0 +1,83 @@
+"""The end of a process, with deadlines of any length, while clients go on asking on open connections."""
+
+import signal
+import time
+from threading import Thread
+
+import pytest
+from serving import PATIENCE
+
+from faults.plan import Plan
+from faults.traffic import Played, statement
+from gullhold.standins.client import Caller
+
+CROSSING_S = 0.05    # s in which a request may cross the end of its connection, from the protocol
+AFTER_S = 0.7        # s behind the longest deadline (3 s at most) at which SIGKILL may come: the protocol
+SPARE_S = 0.15       # s that this machine may be late in writing down when something happened
+
+
+class Asking(Thread):
+    """Asks at an even pace on one connection until that ends; keeps when each request was written."""
+
+    def __init__(self, address, record, number, pause_s, limit_ms, odd=False):
+        super().__init__(daemon=True)
+        self.caller, self.record, self.number = Caller(address), record, number
+        self.pause_s, self.limit_ms, self.odd = pause_s, limit_ms, odd
+        self.written, self.ended_at, self.breaks = {}, None, []
+
+    def run(self):
+        reader = Thread(target=self._read, daemon=True)
+        reader.start()
+        serial = 0
+        try:
+            while self.ended_at is None:
+                if len(self.written) < 16:
+                    serial += 1
+                    txn = b"%08x%08x" % (self.number + 1, serial)
+                    body = statement(txn, 1)
+                    self.record.asked[txn] = (1, body)
+                    self.written[serial] = time.monotonic()   # first: its answer may come at once
+                    self.caller.ask("odd" if self.odd else "read", self.limit_ms, txn=txn, body=body)
+                time.sleep(self.pause_s)
+        except OSError:
+            pass   # its end
+        reader.join(PATIENCE)
+
+    def _read(self):
+        try:
+            while (found := self.caller.answer()) is not None:
+                self.written.pop(found[0], None)
+        except OSError:
+            pass
+        self.ended_at = time.monotonic()
+
+    def lost(self):
+        """Requests without an answer that were written well before the end."""
+        return [seq for seq, at in self.written.items() if at < self.ended_at - CROSSING_S - SPARE_S]
+
+
+@pytest.mark.parametrize("deadline_s", [0.3, 0.6, 1.5])
+@pytest.mark.parametrize("hangs", [False, True])
+def test_all_that_was_asked_before_the_end_is_answered_and_the_end_comes_in_time(tmp_path, deadline_s, hangs):
+    plan = Plan(tmp_path)
+    played = Played(tmp_path, plan)
+    for category in played.told["settings"]["categories"]:
+        category["give_up"], category["aim"] = deadline_s, deadline_s / 3
+    with played:
+        clients = [Asking(played.address, played.record, n, 0.02, int(deadline_s * 1000), odd=n >= 6)
+                   for n in range(8)]   # two ask for what can't be used, again and again
+        for client in clients:
+            client.start()
+        time.sleep(0.5)
+        if hangs:
+            for engine in played.engines:
+                engine.hangs = True
+            time.sleep(0.1)
+        began = time.monotonic()
+        played.process.send_signal(signal.SIGTERM)
+        assert played.process.wait(PATIENCE) == 0
+        assert time.monotonic() - began < deadline_s + AFTER_S
+        for client in clients:
+            client.join(PATIENCE)
+        assert [client.lost() for client in clients] == [[]] * len(clients)
+        assert not played.record.breaks and "Traceback" not in played.text()
--- a/tests/faults/traffic.py
+++ b/tests/faults/traffic.py
@@ -66,7 +66,7 @@
 
     def __init__(self, record, resets=0.0, seed=1):
         self.record, self.conns, self.resets, self.draw = record, [], resets, Random(seed).random
-        self.fetches = 0
+        self.fetches, self.hangs = 0, False   # hangs: takes work and answers nothing
         self.sock, self.address = listening()
         Thread(target=self._accept, daemon=True).start()
 
@@ -101,6 +101,8 @@
 
     def _word(self, conn, verb, *words):
         txn = words[0]
+        if self.hangs:
+            return
         if verb == b"alive":
             conn.sendall(resp.encode(txn, b"alive"))
         elif verb == b"fetch":
