--- a/tests/test_policy.py
+++ b/tests/test_policy.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 
 from gullhold import interface as api
-from gullhold.policy import fit_bound
+from gullhold.policy import Gateway, fit_bound
 
 READY4 = [(ident, ident % 2, ident % 2, api.READY, ident % 3, 0) for ident in range(4)]
 STEP = st.tuples(st.integers(0, 12), st.integers(0, 9999))
@@ -122,6 +122,30 @@
     assert 0.6 < sent[0] / sum(sent) < 0.85
 
 
+def test_in_a_large_fleet_commands_go_back_to_engines_used_lately_while_those_are_idle():
+    """Each command went to another engine: a connection for each, and as many descriptors."""
+    world, used = Driver(agreement()), set()
+    world.engines(*[(ident, 0, 0, api.READY, 0, 0) for ident in range(600)])
+    for _ in range(200):
+        ident = world.command()
+        used.add(world.commands[ident]["out"][0])
+        world.now += 50 * MS
+        world.end(ident, api.ANSWERED)
+    assert len(used) <= 5 * 6   # of five data sets, four each, and few more
+    busy = [world.command() for _ in range(60)]   # all at once: no engine is given two while others are idle
+    engines = [world.commands[ident]["out"][0] for ident in busy]
+    assert len(set(engines)) >= 55
+
+
+def test_a_large_fleet_that_is_cold_is_not_walked_for_each_command(monkeypatch):
+    looked, fits = [], Gateway._fits
+    monkeypatch.setattr(Gateway, "_fits", lambda self, cmd, be: looked.append(be) or fits(self, cmd, be))
+    world = Driver(agreement())
+    world.engines(*[(ident, 0, 0, api.READY, 0, START - 1) for ident in range(2000)])
+    world.command(work=2_000_000)   # too much for any of them while it is cold
+    assert not world.out() and 0 < len(looked) < 1000
+
+
 def test_nothing_is_held_past_its_time_with_no_engine_at_all():
     world = Driver(agreement(profile(late_benefit=0.0), profile(effect=api.NON_REPLAYABLE)))
     never, late = world.command(0), world.command(1)
