--- a/tests/faults/traffic.py
+++ b/tests/faults/traffic.py
@@ -25,6 +25,7 @@
 
 MESSAGE_MOST = 200_000   # bytes of one message of the gateway
 PAGE_ROWS = 200          # rows of a page: under the protocol's 6,000 bytes
+PAUSE_S = 0.005          # s between connections of a client: the machine has other tests to run
 GRACE_S = 0.5            # s after a request's time in which its answer earns nothing, but is not lost
 
 
@@ -133,6 +134,7 @@
             except OSError as fault:
                 self.record.add(f"connections that did not come up or broke: {type(fault).__name__}")
                 time.sleep(0.01)
+            time.sleep(PAUSE_S)
 
     def _connection(self):
         caller = Caller(self.address)
