--- a/review/3/case.py
+++ b/review/3/case.py
@@ -2,6 +2,7 @@
 
 import struct
 import sys
+import threading
 import time
 from contextlib import suppress
 from pathlib import Path
@@ -31,21 +32,41 @@
 
 MEMORY_MB = 192  # the limit that the configuration states: the largest one of scored days
 BAD_CLIENTS = 150  # "others connect by the hundreds"; a third of 1,024 descriptors is 341
-ITEMS = 190_000  # bytes of one message: far below the 60 MB that bad clients send
+ITEMS = 190_000  # bytes of the second message; far below the 60 MB that bad clients send
+ROUNDS = 5  # each bad client sends the same thing again, as soon as it is turned away
 LIMIT_MS = 2250
-LOAD_S = 15.0
+LOAD_S = 45.0
 PER_SECOND = 20.0
 BAD_AT_S = 3.0
 
 
-def bad_bytes() -> bytes:
-    """Return what a bad client sends: a request without an id, and one with an argument that nobody reads."""
+class BadClient:
+    """A bad client: sends two messages that nobody can use, and the same again once they are answered."""
+
+    def __init__(self, gateway: Gateway) -> None:
+        self.answers = threading.Semaphore(0)
+        self.client = Client(gateway, lambda *_: self.answers.release())
+
+    def run(self) -> None:
+        """Send the messages ROUNDS times."""
+        with suppress(OSError):
+            for number in range(1, 2 * ROUNDS, 2):
+                self.client.sock.sendall(bad_bytes(number))
+                for _ in range(2):
+                    self.answers.acquire(timeout=15)
+
+
+def bad_bytes(number: int) -> bytes:
+    """Return the messages: a request with no id, and one with an argument that nobody knows.
+
+    number: the sequence number of the first.
+    """
     fields = {"verb": "lookup", "txn": "0123456789abcdef", "limit": "2250", "team": site.tenant}
     nothing = (
         b"\x0f\x00\x03\x0c" + struct.pack(">i", ITEMS) + bytes(ITEMS)
     )  # field 3: a list of empty structs
-    unreadable = request_frame(2, request_body(fields, b"select 1") + nothing)
-    return execute_call(1, {"verb": "lookup"}, b"select 1") + unreadable
+    no_id = execute_call(number, {"verb": "lookup", "team": site.tenant}, b"select 1")
+    return no_id + request_frame(number + 1, request_body(fields, b"select 1") + nothing)
 
 
 def main() -> None:
@@ -58,27 +79,21 @@
     peaks = [0.0]
     spawn(guard_memory, gateway, record, peaks)
     clients = [UsualClient(gateway, record, f"c{number}") for number in range(4)]
-    load = spawn(steady, clients, LOAD_S, PER_SECOND, b"select a, b, c from sales_1.t", "lookup", LIMIT_MS)
+    spawn(steady, clients, LOAD_S, PER_SECOND, b"select a, b, c from sales_1.t", "lookup", LIMIT_MS)
     time.sleep(BAD_AT_S)
     if TROUBLE:
-        data = bad_bytes()
-        bad = [Client(gateway, lambda *_: None) for _ in range(BAD_CLIENTS)]
-        record.write(BAD_CLIENTS, "bad clients connected; each sends", len(data), "bytes")
+        bad = [BadClient(gateway) for _ in range(BAD_CLIENTS)]
+        record.write(BAD_CLIENTS, "bad clients connected; each sends", len(bad_bytes(1)), "bytes at once")
         for client in bad:
-            spawn(send_all, client, data)
-    load.join()
-    time.sleep(LIMIT_MS / 1000)
+            spawn(client.run)
+    end = time.monotonic() + LOAD_S - BAD_AT_S + LIMIT_MS / 1000
+    while time.monotonic() < end and gateway.process.poll() is None:
+        time.sleep(0.1)
     ended = gateway.process.poll()
     text = f"at most {peaks[0]:.0f} MB of {MEMORY_MB} MB used, exit status {ended} before the end of the case"
     finish(record, HELD if ended is None else BROKEN, text, [gateway])
 
 
-def send_all(client: Client, data: bytes) -> None:
-    """Have a bad client send at full speed what it has."""
-    with suppress(OSError):
-        client.sock.sendall(data)
-
-
 def guard_memory(gateway: Gateway, record: Record, peaks: list[float]) -> None:
     """Do what the platform does: kill the gateway once it uses more memory than its configuration states."""
     while gateway.process.poll() is None:
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -281,9 +281,9 @@
     return body + b"\x0b\x00\x02" + _string(statement)
 
 
-def request_frame(number: int, body: bytes) -> bytes:
-    """Return the frame of an execute call with these arguments."""
-    return _message(1, b"execute", number, body + b"\x00")
+def request_frame(number: int, body: bytes, method: bytes = b"execute") -> bytes:
+    """Return the frame of a call with these arguments."""
+    return _message(1, method, number, body + b"\x00")
 
 
 def execute_call(number: int, fields: dict[str, str], statement: bytes) -> bytes:
