Review case 3: spoilt answers of engines make a gateway exceed its memory limit

Claim: a gateway stays within the memory that its configuration states, and is not killed for it. Disruption: one answer of ten is spoilt: it is said to have 64 strings, and keeps on coming for 12 MB.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,6 +1,6 @@
-"""Case 3: a hundred and fifty bad clients make a gateway use more memory than it has."""
+"""Case 3: answers of engines that keep on coming make a gateway use more memory than it has."""
 
-import struct
+import socket
 import sys
 import threading
 import time
@@ -13,81 +13,72 @@
     HELD,
     NOT_RUN,
     TROUBLE,
-    Client,
     Engine,
+    Fetch,
     Gateway,
     Record,
     UsualClient,
-    execute_call,
     finish,
     known,
+    now_s,
     play,
-    request_body,
-    request_frame,
     settings,
-    site,
     spawn,
     steady,
 )
 
 MEMORY_MB = 192  # the limit that the configuration states: the largest one of scored days
-BAD_CLIENTS = 150  # "others connect by the hundreds"; a third of 1,024 descriptors is 341
-ITEMS = 190_000  # bytes of the second message; far below the 60 MB that bad clients send
-ROUNDS = 5  # each bad client sends the same thing again, as soon as it is turned away
-LIMIT_MS = 2250
-LOAD_S = 45.0
-PER_SECOND = 20.0
-BAD_AT_S = 3.0
-
-
-class BadClient:
-    """A bad client: sends two messages that nobody can use, and the same again once they are answered."""
-
-    def __init__(self, gateway: Gateway) -> None:
-        self.answers = threading.Semaphore(0)
-        self.client = Client(gateway, lambda *_: self.answers.release())
+LIMIT_MS = 2250  # 0.9 of the class's deadline
+LOAD_S = 20.0
+PER_SECOND = 100.0
+SPOILT_AT_S = 3.0
+SPOILT_PART = 10  # from then on each engine spoils one of so many answers
+STRINGS = 64  # strings that a spoilt answer is said to have; a good one has four
+STRING_BYTES = (
+    190_000  # bytes of each further string: all of them hold 12 MB, a good page 6,000 bytes at most
+)
+KEPT_OPEN_S = 5.0  # how long its connection stays open after the last byte
 
-    def run(self) -> None:
-        """Send the messages ROUNDS times."""
-        with suppress(OSError):
-            for number in range(1, 2 * ROUNDS, 2):
-                self.client.sock.sendall(bad_bytes(number))
-                for _ in range(2):
-                    self.answers.acquire(timeout=15)
 
+class BadPeer(Engine):
+    """An engine that spoils some of its good answers from a time on, if there is trouble."""
 
-def bad_bytes(number: int) -> bytes:
-    """Return the messages: a request with no id, and one with an argument that nobody knows.
+    spoils = False
 
-    number: the sequence number of the first.
-    """
-    fields = {"verb": "lookup", "txn": "0123456789abcdef", "limit": "2250", "team": site.tenant}
-    nothing = (
-        b"\x0f\x00\x03\x0c" + struct.pack(">i", ITEMS) + bytes(ITEMS)
-    )  # field 3: a list of empty structs
-    no_id = execute_call(number, {"verb": "lookup", "team": site.tenant}, b"select 1")
-    return no_id + request_frame(number + 1, request_body(fields, b"select 1") + nothing)
+    def run(self, connection: socket.socket, lock: threading.Lock, fetch: Fetch, statement: bytes) -> None:
+        """Run one command, and answer it."""
+        if not self.spoils or int(fetch.txn, 16) % SPOILT_PART:
+            super().run(connection, lock, fetch, statement)
+            return
+        time.sleep(0.2)
+        self.record.write("engine", self.name, "done", fetch.txn, "its answer keeps on coming")
+        words = (fetch.txn.encode(), b"200", b"pages=1,cost=50,need=20,load=inflight:1")
+        start = b"".join(b"$%d\r\n%s\r\n" % (len(word), word) for word in words)
+        further = b"$%d\r\n%s\r\n" % (STRING_BYTES, b"x" * STRING_BYTES)
+        with suppress(OSError), lock:
+            connection.sendall(b"*%d\r\n" % STRINGS + start)
+            for _ in range(STRINGS - len(words) - 1):
+                connection.sendall(further)
+            time.sleep(KEPT_OPEN_S)
 
 
 def main() -> None:
     """Play the case."""
     record = Record(Path(__file__).parent)
-    engines = [Engine(f"s-{number}", record) for number in range(4)]
-    gateway = Gateway("n0", settings([{"name": "lookup"}]), known(engines), None)
+    engines = [BadPeer(f"s-{number}", record) for number in range(6)]
+    tree = settings([{"name": "lookup"}], balancers=1)
+    gateway = Gateway("n0", tree, known(engines), None)
     if not gateway.wait_ready():
         finish(record, NOT_RUN, "the gateway did not start: " + gateway.log_text(), [gateway])
     peaks = [0.0]
     spawn(guard_memory, gateway, record, peaks)
-    clients = [UsualClient(gateway, record, f"c{number}") for number in range(4)]
-    spawn(steady, clients, LOAD_S, PER_SECOND, b"select a, b, c from sales_1.t", "lookup", LIMIT_MS)
-    time.sleep(BAD_AT_S)
-    if TROUBLE:
-        bad = [BadClient(gateway) for _ in range(BAD_CLIENTS)]
-        record.write(BAD_CLIENTS, "bad clients connected; each sends", len(bad_bytes(1)), "bytes at once")
-        for client in bad:
-            spawn(client.run)
-    end = time.monotonic() + LOAD_S - BAD_AT_S + LIMIT_MS / 1000
-    while time.monotonic() < end and gateway.process.poll() is None:
+    clients = [UsualClient(gateway, record, f"c{number}") for number in range(8)]
+    statement = b"select a, b, c from sales_1.t /* 200 ms */"
+    end_s = now_s() + LOAD_S
+    spawn(steady, clients, LOAD_S, PER_SECOND, statement, "lookup", LIMIT_MS)
+    time.sleep(SPOILT_AT_S)
+    BadPeer.spoils = TROUBLE
+    while now_s() < end_s + LIMIT_MS / 1000 and gateway.process.poll() is None:
         time.sleep(0.1)
     ended = gateway.process.poll()
     text = f"at most {peaks[0]:.0f} MB of {MEMORY_MB} MB used, exit status {ended} before the end of the case"
