--- a/review/3/case.py
+++ b/review/3/case.py
@@ -32,7 +32,7 @@
 LOAD_S = 20.0
 PER_SECOND = 100.0
 SPOILT_AT_S = 3.0
-SPOILT_PART = 10  # from then on each engine spoils one of so many answers
+SPOILT_PART = 5  # from then on each engine spoils one of so many answers
 STRINGS = 64  # strings that a spoilt answer is said to have; a good one has four
 STRING_BYTES = (
     190_000  # bytes of each further string: all of them hold 12 MB, a good page 6,000 bytes at most
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -192,7 +192,7 @@
 class Gateway:
     """One gateway process, started by `run` of the deploy file, with a temporary folder of its own."""
 
-    started: ClassVar[list[subprocess.Popen]] = []
+    started: ClassVar[list["Gateway"]] = []
 
     def __init__(
         self, name: str, tree: dict[str, Any], known: dict[str, Any], coordinator: str | None
@@ -225,7 +225,7 @@
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", run], cwd=ROOT, env=environment, stdout=self.log, stderr=self.log
         )
-        self.started.append(self.process)
+        self.started.append(self)
 
     def wait_ready(self, limit_s: float = 30.0) -> bool:
         """Wait until the gateway has answered `check` with `good` true."""
@@ -602,9 +602,8 @@
     """Run a case; exit with NOT_RUN if it raises an exception or takes too long."""
 
     def end(text: str) -> None:
-        for process in Gateway.started:
-            if process.poll() is None:
-                process.kill()
+        for gateway in Gateway.started:
+            gateway.stop()
         print(f"exit {NOT_RUN}: {text}")
         sys.stdout.flush()
         os._exit(NOT_RUN)
