Review: scripts end all gateways before they print their verdict

Claim: a script ends all processes that it started, also if its output is closed. Disruption: standard output closed by its reader, as seen with a trial script.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -130,7 +130,7 @@
     )
     gateway = Gateway("n0", tree, known(engines), None)
     if not gateway.wait_ready():
-        finish(record, NOT_RUN, "the gateway did not start: " + gateway.log_text(), [gateway])
+        finish(record, NOT_RUN, "the gateway did not start: " + gateway.log_text())
     client = UsualClient(gateway, record, "c0")
     for number in range(LOADS):
         statement = b"insert into sales_%d.t select 1" % number
@@ -159,7 +159,7 @@
             late.append(fetch)
     twice = [mark for mark, times in runs.items() if len(times) > 1]
     text = f"{len(runs)} loads, {len(late)} sent again after {WINDOW_S} s, {len(twice)} run twice"
-    finish(record, BROKEN if late else HELD if len(runs) == LOADS else NOT_RUN, text, [gateway])
+    finish(record, BROKEN if late else HELD if len(runs) == LOADS else NOT_RUN, text)
 
 
 if __name__ == "__main__":
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -38,7 +38,7 @@
     engines = [Engine(f"s-{number}", record) for number in range(4)]
     gateway = Gateway("n0", settings([{"name": "lookup"}]), known(engines), None)
     if not gateway.wait_ready():
-        finish(record, NOT_RUN, "the gateway did not start: " + gateway.log_text(), [gateway])
+        finish(record, NOT_RUN, "the gateway did not start: " + gateway.log_text())
     clients = [UsualClient(gateway, record, f"c{number}") for number in range(4)]
     load = spawn(steady, clients, LOAD_S, PER_SECOND, b"select a, b, c from sales_1.t", "lookup", LIMIT_MS)
     time.sleep(BAD_AT_S)
@@ -56,7 +56,7 @@
     ended = gateway.process.poll()
     text = f"{len(requests)} requests of usual clients, {len(lost)} without one final answer in time"
     record.write("time of the check", f"{now_s():.1f}", "gateway's exit status", ended)
-    finish(record, BROKEN if lost or ended is not None else HELD, text, [gateway])
+    finish(record, BROKEN if lost or ended is not None else HELD, text)
 
 
 def is_answered_in_time(sent_s: float, answers: list[tuple[float, str]]) -> bool:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -69,7 +69,7 @@
     tree = settings([{"name": "lookup"}], balancers=1)
     gateway = Gateway("n0", tree, known(engines), None)
     if not gateway.wait_ready():
-        finish(record, NOT_RUN, "the gateway did not start: " + gateway.log_text(), [gateway])
+        finish(record, NOT_RUN, "the gateway did not start: " + gateway.log_text())
     peaks = [0.0]
     spawn(guard_memory, gateway, record, peaks)
     clients = [UsualClient(gateway, record, f"c{number}") for number in range(8)]
@@ -82,7 +82,7 @@
         time.sleep(0.1)
     ended = gateway.process.poll()
     text = f"at most {peaks[0]:.0f} MB of {MEMORY_MB} MB used, exit status {ended} before the end of the case"
-    finish(record, HELD if ended is None else BROKEN, text, [gateway])
+    finish(record, HELD if ended is None else BROKEN, text)
 
 
 def guard_memory(gateway: Gateway, record: Record, peaks: list[float]) -> None:
--- a/review/stand_ins.py
+++ b/review/stand_ins.py
@@ -13,7 +13,6 @@
 import socket
 import struct
 import subprocess
-import sys
 import tempfile
 import threading
 import time
@@ -588,30 +587,27 @@
             client.send(verb, limit_ms, statement, cpu="50", memory="20")
 
 
-def finish(record: Record, status: int, text: str, gateways: list[Gateway]) -> None:
-    """Write the verdict, end all processes and exit."""
-    record.write("verdict", status, text)
-    print(f"exit {status}: {text}")
-    for gateway in gateways:
+def leave(status: int, text: str) -> None:
+    """End all gateways, print the verdict and exit."""
+    for gateway in Gateway.started:
         gateway.stop()
-    sys.stdout.flush()
+    with suppress(OSError):
+        print(f"exit {status}: {text}", flush=True)
     os._exit(status)
 
 
-def play(main: Callable[[], None], limit_s: float = 115.0) -> None:
-    """Run a case; exit with NOT_RUN if it raises an exception or takes too long."""
+def finish(record: Record, status: int, text: str) -> None:
+    """Write the verdict, end all processes and exit."""
+    record.write("verdict", status, text)
+    leave(status, text)
 
-    def end(text: str) -> None:
-        for gateway in Gateway.started:
-            gateway.stop()
-        print(f"exit {NOT_RUN}: {text}")
-        sys.stdout.flush()
-        os._exit(NOT_RUN)
 
-    timer = threading.Timer(limit_s, end, (f"not over after {limit_s} s",))
+def play(main: Callable[[], None], limit_s: float = 115.0) -> None:
+    """Run a case; exit with NOT_RUN if it raises an exception or takes too long."""
+    timer = threading.Timer(limit_s, leave, (NOT_RUN, f"not over after {limit_s} s"))
     timer.daemon = True
     timer.start()
     try:
         main()
     except Exception as error:  # noqa: BLE001  a fault of the script is no fault of the gateway
-        end(repr(error))
+        leave(NOT_RUN, repr(error))
