A long statement is read beside the others' turn, and a message has 1,024 values at most

Callers saw: while one reader handles a call, no other reads; what one message costs is what all others wait for.

A linear scan of the longest statement (196,608 bytes) still takes 0.1 to 0.18 s in the one turn that readers share, and so does the decoding of a message of many small values: 0.20 s for a list of 190,000 empty structs.

Fix: ReadingTurns in place of the bare lock. A statement of over 4,096 bytes is read while the others have their turns, one at a time. While it waits its frame and its statement are reserved in the statement memory, so hundreds that wait are shed where they would exceed it. A message of more than 1,024 values (a call has about twenty) ends its connection as malformed before they are decoded.

--- a/gullhold/net/client_calls.py
+++ b/gullhold/net/client_calls.py
@@ -6,6 +6,7 @@
 from gullhold.net import thrift
 from gullhold.net.client_limits import MAX_OPEN_REQUESTS
 from gullhold.net.connection_ends import ProtocolError
+from gullhold.net.reading_turns import LONG_STATEMENT_BYTES
 from gullhold.net.received_call import FIELDS_ARGUMENT, ReceivedCall
 from gullhold.net.request_reader import Request, RequestError, RequestReader
 
@@ -138,7 +139,10 @@
             return
         if self._is_rejected_early(sequence_id, fields, call.received_at_us):
             return
-        request = self._read_request(sequence_id, fields, statement)
+        if len(statement) > LONG_STATEMENT_BYTES:
+            request = self._read_long_request(call, fields, statement)
+        else:
+            request = self._read_request(sequence_id, fields, statement)
         if request:
             self._post_to_core(sequence_id, request, call.received_at_us)
 
@@ -173,6 +177,24 @@
             self.backpressure.pause_for(self.core.agreement.connect_timeout_us / 1e6)
             return None
 
+    def _read_long_request(
+        self, call: ReceivedCall, fields: dict[bytes, bytes], statement: bytes
+    ) -> Request | None:
+        """Read a request as _read_request() does, while other readers have their turns; shed it if many wait.
+
+        Meanwhile its bytes are in memory twice, as the frame and as the statement.
+        """
+        memory = self.core.statement_memory
+        waiting_bytes = 2 * call.size
+        if not memory.reserve(waiting_bytes):
+            self._reject(call.sequence_id, "rejected_statement_memory")
+            return None
+        try:
+            with self.core.reading_turns.beside_others():
+                return self._read_request(call.sequence_id, fields, statement)
+        finally:
+            memory.release(waiting_bytes)
+
     def _post_to_core(self, sequence_id: int, request: Request, received_at_us: int) -> None:
         if not self.core.overload.admits(request.timeout_us):
             self._reject(sequence_id, "rejected_overload")
--- a/gullhold/net/client_connection.py
+++ b/gullhold/net/client_connection.py
@@ -196,7 +196,7 @@
                 return ConnectionEnd.CLOSED_BY_PEER
             if not has_more:
                 self._end_if_settled()
-            with self.core.reading_lock:
+            with self.core.reading_turns:
                 self.calls.handle_deferred()
                 for frame in self.decoder.frames():
                     self.idle_timer.call_received()
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable
-from threading import Event, Lock
+from threading import Event
 from typing import TYPE_CHECKING, Protocol
 
 from gullhold.interface import Agreement, Demand, EngineEntry, PolicyGate
@@ -25,6 +25,7 @@
 from gullhold.net.eventlog import EventLog
 from gullhold.net.overload import OverloadControl
 from gullhold.net.pending_requests import Client, PendingRequests
+from gullhold.net.reading_turns import ReadingTurns
 from gullhold.net.request_admission import RequestAdmission
 from gullhold.net.request_reader import Request
 from gullhold.net.shutdown import GracefulShutdown
@@ -92,9 +93,7 @@
         self.retry_after_field = retry_after_field.encode()
         self.flusher: Flusher | None = None  # completes writes that the socket did not accept at once
         self.event_log = EventLog()
-        # Held by a reader thread while it handles calls, so that one does so at a time: with hundreds running
-        # at once the core's thread would hardly get the interpreter lock.
-        self.reading_lock = Lock()
+        self.reading_turns = ReadingTurns()  # of the reader threads of clients
         # Set once the changes since the configuration was written have arrived, or can't be received.
         self.list_received = Event()
         self.shutdown_began_at = 0  # when the graceful shutdown began, in us; 0: it has not begun
--- a/gullhold/net/thrift.py
+++ b/gullhold/net/thrift.py
@@ -72,6 +72,7 @@
 VALUE_TYPES = frozenset(FieldType) - {FieldType.STOP}
 
 VERSION_1 = 0x8001  # first bytes of a message in the strict encoding
+MAX_VALUES = 1024  # values of a message, at any level; a call has about twenty
 MAX_NESTING = 16  # levels of structs and containers; the service's messages have three at most
 LENGTH_SIZE = 4  # bytes of the length of a frame or string
 MESSAGE_HEADER = struct.Struct(">HBB")  # start of a message header: version, unused byte, message type
@@ -122,6 +123,7 @@
     def __init__(self, data: bytes) -> None:
         self.data = data
         self.position = 0  # index of the next byte to read
+        self.value_count = 0  # values that were read or announced
 
     def read(self, size: int) -> bytes:
         """Read the next size bytes."""
@@ -165,6 +167,7 @@
         """Read the fields of a struct, up to and including its end."""
         fields: Fields = {}
         while value_type := self.read(1)[0]:
+            self._count_values(1)
             field_id = self.read_number(I16_FORMAT)
             fields[field_id, value_type] = self.read_value(value_type, depth)
         return fields
@@ -218,8 +221,15 @@
             raise ProtocolError(f"{size} items of a container do not fit a frame of {len(self.data)} bytes")
         if size and not VALUE_TYPES.issuperset(item_types):
             raise ProtocolError(f"unknown type among the item types of a container: {item_types}")
+        self._count_values(size * len(item_types))
         return size
 
+    def _count_values(self, count: int) -> None:
+        """Limit what one message costs: an empty struct is a byte in it, but takes a hundred in memory."""
+        self.value_count += count
+        if self.value_count > MAX_VALUES:
+            raise ProtocolError(f"a message of more than {MAX_VALUES} values")
+
 
 class Decoder:
     """Splits the bytes of a connection into frames or calls; the caller puts the bytes into `buffer`."""
--- a/gullhold/simulation/gateway.py
+++ b/gullhold/simulation/gateway.py
@@ -128,8 +128,9 @@
             return
         try:
             self.decoder.buffer.put(data)
-            for frame in self.decoder.frames():
-                self.calls.handle(frame, self.core.clock())
+            with self.core.reading_turns:
+                for frame in self.decoder.frames():
+                    self.calls.handle(frame, self.core.clock())
         except ProtocolError as error:
             self._report_end_once(ConnectionEnd.MALFORMED, str(error))
         self.write_rejections()
--- a/tests/test_thrift.py
+++ b/tests/test_thrift.py
@@ -90,6 +90,22 @@
         list(decoder.calls())
 
 
+@pytest.mark.parametrize(
+    "extra",
+    [
+        b"\x0f\x00\x09" + struct.pack(">Bi", 12, 100_000) + bytes(100_000),
+        b"\x0d\x00\x09" + struct.pack(">BBi", 11, 11, 5000) + bytes(8 * 5000),
+        b"\x0d\x00\x09" + struct.pack(">BBi", 3, 3, 600) + bytes(2 * 600),
+        b"\x02\x00\x09\x01" * 1100,
+        b"\x0f\x00\x09" + struct.pack(">Bi", 15, 20) + (struct.pack(">Bi", 3, 60) + bytes(60)) * 20,
+    ],
+)
+def test_message_of_too_many_values_is_rejected_before_it_is_decoded(extra):
+    """Guards against messages whose values take a hundred times their bytes in memory: empty structs."""
+    with pytest.raises(ProtocolError, match="values"):
+        thrift.decode_call(encode_call(fields={b"a": b"b"}, extra=extra)[4:])
+
+
 @DETERMINISTIC
 @given(data=st.binary(max_size=300))
 def test_random_bytes_decode_or_raise_protocol_error(data):
