--- a/gullhold/net/attempts.py
+++ b/gullhold/net/attempts.py
@@ -34,6 +34,7 @@
         self.agreement = core.agreement
         self.counters = core.counters
         self.last_confirmation = 0  # number of the last confirmation that was requested
+        self.page_bytes = 0  # size of all pages that are kept until their results are complete
 
     def start(self, dispatch: Dispatch) -> None:
         """Start an attempt that the decision module has dispatched."""
@@ -73,6 +74,7 @@
         if connection and connection.open_attempts.get(pending.request.transaction_id) is attempt:
             del connection.open_attempts[pending.request.transaction_id]
             connection.used_at = core.now
+        self.page_bytes -= attempt.result_bytes
         attempt.release()
         pending.last_outcome = OUTCOME_TEXTS[outcome]
         self.counters.add(f"attempts_ended_{pending.last_outcome}")
@@ -116,6 +118,10 @@
             del connection.open_attempts[transaction_id]
         self.core.defer(self.end, attempt, outcome)
 
+    def are_pages_over_limit(self) -> bool:
+        """Whether the pages of incomplete results exceed the memory that unread answers may use, too."""
+        return self.page_bytes > self.core.statement_memory.max_bytes
+
     def cancel_confirmed(self, connection: EngineConnection, tag: bytes) -> None:
         """Handle a confirmation: the engine has received the abort, and its earlier replies have arrived.
 
--- a/gullhold/net/engine_connection.py
+++ b/gullhold/net/engine_connection.py
@@ -16,6 +16,9 @@
     from gullhold.net.core import Core
     from gullhold.net.pending_requests import PendingRequest
 
+MAX_REPLY_BYTES = 16_384  # a reply with a page of 6,000 bytes, the largest, has far less beside it
+MAX_UNHANDLED_REPLY_BYTES = 32_768  # memory of the replies on one connection that wait for the core
+UNHANDLED_POLL_INTERVAL_S = 0.001  # time between checks whether the core has handled enough of them
 CONNECT_RETRY_INTERVAL_S = 0.02  # time between tries to connect while this machine lacks resources or a route
 # Errors after which connecting is retried; ENETUNREACH: there is no route yet. ip(7), connect(2).
 RETRIED_ERRNOS = connection_ends.LOCAL_EXHAUSTION_ERRNOS | {errno.ENETUNREACH}
@@ -89,7 +92,9 @@
 class EngineConnection:
     """One connection. Its reader thread connects, reads and closes; the core's thread owns all other state.
 
-    max_message_bytes: size limit of a reply. max_buffered_bytes: how much may wait to be written.
+    max_message_bytes: how much is buffered of what arrives. max_buffered_bytes: how much may wait to be
+    written. decoder.decoded_bytes counts the memory of all replies so far, handled_bytes that of those which
+    the core has handled.
     """
 
     def __init__(
@@ -102,7 +107,8 @@
     ) -> None:
         self.endpoint = endpoint
         self.core = core
-        self.decoder = resp.Decoder(max_message_bytes)
+        self.decoder = resp.Decoder(max_message_bytes, MAX_REPLY_BYTES)
+        self.handled_bytes = 0
         self.write_buffer = WriteBuffer(max_buffered_bytes, core.counters, core.flusher)
         self.open_attempts: dict[bytes, Attempt] = {}  # by transaction id
         self.abandoned_ids: set[bytes] = set()  # of abandoned attempts, to which late replies may arrive
@@ -151,7 +157,7 @@
             arrays.extend(self.decoder.arrays())
         finally:  # also the arrays that precede malformed bytes
             if arrays:
-                self.core.post_first(self.core.replies.handle, self, arrays)
+                self.core.post_first(self.core.replies.handle, self, arrays, self.decoder.decoded_bytes)
 
     def reader_ended(self, end: ConnectionEnd, detail: str, connection: Connection | None) -> None:
         """From the reader thread as it ends: close the descriptor and report the end to the core."""
@@ -226,7 +232,18 @@
             if not count:
                 return ConnectionEnd.CLOSED_BY_PEER
             self.deliver()
+            self._wait_for_core()
             if self.decoder.is_mid_array != is_mid_array:
                 # The rest of a started array arrives soon or never, so only its reads have a timeout.
                 is_mid_array = self.decoder.is_mid_array
                 set_read_timeout(sock, self.core.agreement.connect_timeout_us if is_mid_array else 0)
+
+    def _wait_for_core(self) -> None:
+        """Wait while too much waits for the core; meanwhile TCP flow control holds the engine back.
+
+        Guards against an engine that sends faster than the core handles its replies.
+        """
+        while self.decoder.decoded_bytes - self.handled_bytes > MAX_UNHANDLED_REPLY_BYTES:
+            if self.local_end or self.core.stopped:
+                return
+            time.sleep(UNHANDLED_POLL_INTERVAL_S)
--- a/gullhold/net/engine_replies.py
+++ b/gullhold/net/engine_replies.py
@@ -32,8 +32,11 @@
         self.counters = core.counters
         self.report_fields = [name.encode() for name in core.agreement.report_fields]
 
-    def handle(self, connection: EngineConnection, arrays: list[list[bytes]]) -> None:
-        """Handle the arrays that have arrived from an engine; each is one reply."""
+    def handle(self, connection: EngineConnection, arrays: list[list[bytes]], decoded_bytes: int) -> None:
+        """Handle the arrays that have arrived from an engine; each is one reply.
+
+        decoded_bytes: what the connection's decoder had decoded with the last of them.
+        """
         connection.last_reply_at = self.core.now
         connection.probed_at = 0
         try:
@@ -43,6 +46,8 @@
                 self._handle_array(connection, array)
         except (ProtocolError, ValueError) as error:
             self.core.pool.drop(connection, ConnectionEnd.MALFORMED, str(error))
+        finally:
+            connection.handled_bytes = decoded_bytes
 
     def _handle_array(self, connection: EngineConnection, array: list[bytes]) -> None:
         if len(array) < MIN_STRINGS:
@@ -117,12 +122,17 @@
         check_page(rows)
         attempt.pages.append(rows)
         attempt.result_bytes += len(rows)
+        self.core.attempts.page_bytes += len(rows)
         # MAX_RESULT_BYTES also limits the number of pages: each is taken to have at least one byte.
-        if attempt.result_bytes > self.core.max_message_bytes or attempt.page_count > MAX_RESULT_BYTES:
+        if attempt.result_bytes > MAX_RESULT_BYTES or attempt.page_count > MAX_RESULT_BYTES:
             raise ProtocolError(
-                f"a result of {attempt.result_bytes} bytes (limit {self.core.max_message_bytes})"
-                f" or {attempt.page_count} pages (limit {MAX_RESULT_BYTES}) is too large"
+                f"a result of {attempt.result_bytes} bytes or {attempt.page_count} pages is too large"
+                f" (limit of both {MAX_RESULT_BYTES})"
             )
+        if self.core.attempts.are_pages_over_limit():
+            self.counters.add("results_over_memory")
+            self.core.attempts.abandon(attempt, Outcome.ERROR)
+            return
         if len(attempt.pages) < attempt.page_count:
             self.core.pool.send_control(
                 connection, engine_protocol.MORE, transaction_id, b"%d" % len(attempt.pages)
--- a/gullhold/net/resp.py
+++ b/gullhold/net/resp.py
@@ -7,6 +7,8 @@
 
 MAX_HEADER_BYTES = 16  # length line without its end: room for more digits than any length that fits a buffer
 MAX_STRINGS_PER_ARRAY = 64  # several times as many as any array of the protocol has
+ARRAY_OBJECT_BYTES = 100  # memory of a decoded array beside its bytes
+STRING_OBJECT_BYTES = 50  # memory of each of its strings beside its bytes
 LINE_END = b"\r\n"
 ARRAY_PREFIX = b"*"
 STRING_PREFIX = b"$"
@@ -15,11 +17,16 @@
 class Decoder:
     """Splits the bytes of a connection into arrays of byte strings; the caller puts the bytes into `buffer`.
 
-    max_bytes: upper limit of the bytes that are buffered at once.
+    max_bytes: upper limit of the bytes that are buffered at once. max_array_bytes: upper limit of one array
+    with all its strings, which are kept until the array is complete; by default max_bytes. decoded_bytes:
+    total memory of the arrays that were yielded.
     """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(self, max_bytes: int, max_array_bytes: int | None = None) -> None:
         self.buffer = Buffer(max_bytes)
+        self.max_array_bytes = max_bytes if max_array_bytes is None else max_array_bytes
+        self.decoded_bytes = 0
+        self.array_bytes = 0  # bytes of the current array that are consumed, with the lengths of its strings
         self.strings: list[bytes] = []  # read strings of the current array
         self.missing_count = 0  # number of strings of the current array that are not read yet
 
@@ -42,6 +49,8 @@
                     return
                 self.strings.append(string)
                 self.missing_count -= 1
+            objects_bytes = ARRAY_OBJECT_BYTES + len(self.strings) * STRING_OBJECT_BYTES
+            self.decoded_bytes += self.array_bytes + objects_bytes
             yield self.strings
 
     def _begin_array(self) -> bool:
@@ -55,6 +64,7 @@
             raise ProtocolError(f"array of {size} strings: not between 1 and {MAX_STRINGS_PER_ARRAY}")
         self.strings = []
         self.missing_count = size
+        self.array_bytes = header_size
         return True
 
     def _read_string(self) -> bytes | None:
@@ -67,12 +77,18 @@
             raise ProtocolError(
                 f"string of {size} bytes does not fit the buffer of {self.buffer.max_bytes} bytes"
             )
+        string_bytes = header_size + size + len(LINE_END)
+        if self.array_bytes + string_bytes > self.max_array_bytes:
+            raise ProtocolError(
+                f"array exceeds the limit of {self.max_array_bytes} bytes with a string of {size} bytes"
+            )
         body = self.buffer.peek(size + len(LINE_END), header_size)
         if body is None:
             return None
         if body[size:] != LINE_END:
             raise ProtocolError(f"no line end after a string of the announced length of {size} bytes")
-        self.buffer.consume(header_size + len(body))
+        self.buffer.consume(string_bytes)
+        self.array_bytes += string_bytes
         return body[:size]
 
     def _peek_header(self, prefix: bytes) -> tuple[int, int] | None:
--- a/tests/test_message_costs.py
+++ b/tests/test_message_costs.py
@@ -1,12 +1,14 @@
 """What one message may cost: the time for which others wait, and memory over all connections."""
 
-from threading import Event
+import time
+from contextlib import suppress
+from threading import Event, Thread
 
 from serving import until
 
-from gullhold.net import request_reader, statement
+from gullhold.net import engine_connection, request_reader, resp, statement
 from gullhold.testing.client import BlockingClient
-from gullhold.testing.scripted import ScriptedEngine
+from gullhold.testing.scripted import ScriptedEngine, serve_pages
 
 LONG_STATEMENT = b"select 1 from sales_3.t" + b" " * 5000
 
@@ -52,3 +54,69 @@
     may_read.set()
     results = [each.read_answer().result for each in clients]
     assert sorted(results, key=str) == [b"a\tb\tc\n"] * 3 + ["shed"] * 3
+
+
+def test_reply_that_keeps_on_coming_ends_its_connection_at_once(start_gateway):
+    """Guards against strings of an unfinished reply that are kept, 12 MB for each connection."""
+    was_closed = Event()
+
+    def keep_on_coming(conn, verb, *words):
+        if verb != b"fetch":
+            return
+        conn.sendall(b"*64\r\n$16\r\n%s\r\n$3\r\n200\r\n$7\r\npages=1\r\n" % words[0])
+        try:
+            for _ in range(60):
+                conn.sendall(b"$190000\r\n" + b"x" * 190_000 + b"\r\n")
+        except ConnectionError:
+            was_closed.set()
+
+    gateway, client = start_gateway(ScriptedEngine(keep_on_coming, serve_pages()))
+    seq = client.send_command()
+    assert client.read_answer() == (seq, b"a\tb\tc\n")
+    assert gateway.count("engine_connections_ended_malformed") == 1
+    assert was_closed.wait(1.0)  # not only after all 60
+
+
+def test_engine_that_replies_faster_than_the_core_handles_it_is_held_back(start_gateway):
+    """Guards against replies without end, each of them complete, that wait for the core uncounted."""
+    may_go_on, sent = Event(), []
+
+    def flood(conn, verb, *words):
+        def send():
+            unknown = resp.encode(b"f" * 16, b"status", b"note=share,v=0.5", b"x" * 5000) * 20
+            with suppress(OSError):  # a retry floods, too, until the test ends
+                for _ in range(300):
+                    conn.sendall(unknown)
+                    sent.append(len(unknown))
+                conn.sendall(resp.encode(words[0], b"200", b"pages=1", b"a\tb\tc\n"))
+
+        if verb == b"fetch":
+            Thread(target=send, daemon=True).start()
+
+    gateway, client = start_gateway(ScriptedEngine(flood))
+    seq = client.send_command(limit=7000)
+    until(lambda: gateway.core.pool.connections and sent)
+    (connection,) = gateway.core.pool.connections
+    gateway.core.post_first(may_go_on.wait)
+    waiting = []
+    for _ in range(50):
+        waiting.append(connection.decoder.decoded_bytes - connection.handled_bytes)
+        time.sleep(0.01)
+    one_read = 4 * connection.decoder.buffer.max_bytes
+    assert 0 < max(waiting) <= engine_connection.MAX_UNHANDLED_REPLY_BYTES + one_read
+    assert len(sent) < 300
+    may_go_on.set()
+    assert client.read_answer() == (seq, b"a\tb\tc\n")
+
+
+def test_incomplete_results_over_their_memory_are_given_up(start_gateway):
+    """Guards against pages of results that are never completed, on any number of connections."""
+    engine = ScriptedEngine(serve_pages(*[b"a\tb\tc\n" * 900] * 4), serve_pages())
+    gateway, client = start_gateway(engine)
+    gateway.core.statement_memory.max_bytes = 12_000
+    seq = client.send_command("once")
+    assert client.read_answer() == (seq, "fault")  # it has run
+    assert gateway.count("results_over_memory") == 1
+    until(lambda: not gateway.core.attempts.page_bytes)
+    seq = client.send_command()
+    assert client.read_answer() == (seq, b"a\tb\tc\n")
--- a/tests/test_resp.py
+++ b/tests/test_resp.py
@@ -44,6 +44,20 @@
         list(decoder.arrays())
 
 
+def test_array_over_its_limit_is_rejected_at_the_length_that_exceeds_it():
+    """Guards against strings that are kept uncounted, as each by itself fits the buffer."""
+    decoder = resp.Decoder(MAX_MESSAGE_BYTES, max_array_bytes=1000)
+    whole = resp.encode(b"x" * 480, b"y" * 490)
+    assert len(whole) == 990
+    decoder.buffer.put(whole + b"*3\r\n$480\r\n" + b"x" * 480 + b"\r\n$490\r\n" + b"y" * 490 + b"\r\n")
+    arrays = decoder.arrays()
+    assert next(arrays) == [b"x" * 480, b"y" * 490]
+    assert decoder.array_bytes == 990
+    decoder.buffer.put(b"$9\r\n")
+    with pytest.raises(ProtocolError, match="limit of 1000 bytes"):
+        list(arrays)
+
+
 def test_field_lists_are_decoded_and_encoded():
     assert resp.decode_fields(b"-") == {}
     assert resp.decode_fields(b"a=1,load=inflight:7;util:0.6") == {
