What clients send is counted where it is kept, over all connections

No usual client did anything wrong.

Memory was bounded for one connection, or not where it is kept: - a deferred call kept its decoded arguments, 72 bytes for each byte of a list of empty structs, and only its own connection counted it (32 kB and one message): 320 connections could keep 70 MB undecoded; - read buffers grow to the largest message, 196,608 bytes, on each of 512 connections: 96 MB; - a request reserved its statement, not the idempotency key that is kept beside it; - calls of check, and repeated interrupts of one request, were posted to the core without a bound.

Fix: deferred calls keep their frames alone and reserve them in the statement memory; a request reserves its key, too. ReceiveMemory counts by how much all read buffers exceed their first 4,096 bytes, which usual messages fit; over a sixteenth of the memory the largest buffer is given up, whoever wants to grow, and the requests open on that connection get their answers. A connection may have 32 checks unanswered, and an interrupt is posted once.

--- a/gullhold/fleet/scheduled_command_client.py
+++ b/gullhold/fleet/scheduled_command_client.py
@@ -96,7 +96,7 @@
             request = self._reader.read_request(fields, command.statement.encode(), CLIENT_NAME, CLIENT_NAME)
         except RequestError as error:
             raise RejectedError(str(error)) from None
-        if not self._core.statement_memory.reserve(len(request.statement)):
+        if not self._core.statement_memory.reserve(request.kept_bytes):
             raise RejectedError("no memory for its statement")
         self.undelivered[number] = True
         self._core.counters.add("scheduled_commands_sent")
--- a/gullhold/net/assembly.py
+++ b/gullhold/net/assembly.py
@@ -12,6 +12,7 @@
 from gullhold.net.discovery import DiscoveryClient
 from gullhold.net.flusher import Flusher
 from gullhold.net.listener import Listener
+from gullhold.net.receive_memory import ReceiveMemory
 from gullhold.net.startup import ResourceError, retry_while_exhausted
 from gullhold.net.statement_memory import StatementMemory
 
@@ -23,6 +24,7 @@
 
 LISTEN_RETRY_LIMIT_S = 5.0  # how long to retry while the address is in use or no socket is available
 STATEMENT_MEMORY_DIVISOR = 8  # 1/8 of the memory is for statements, another 1/8 for unread answers
+RECEIVE_MEMORY_DIVISOR = 16  # 1/16 of the memory is for messages of clients that are not complete yet
 # Descriptors not for client or engine connections but for standard streams, listener, discovery, and spares.
 RESERVED_DESCRIPTORS = 16
 CLIENT_SOCKETS_DIVISOR = 2  # clients get half of the sockets; they usually need at most a third
@@ -77,6 +79,7 @@
         max_message_bytes,
         configuration.max_sockets - max_clients - RESERVED_DESCRIPTORS,
         StatementMemory(configuration.memory_bytes // STATEMENT_MEMORY_DIVISOR),
+        ReceiveMemory(configuration.memory_bytes // RECEIVE_MEMORY_DIVISOR),
         admission.queue if admission else None,
         admission_record.come_back.field if admission_record else "",
     )
--- a/gullhold/net/buffer.py
+++ b/gullhold/net/buffer.py
@@ -1,17 +1,35 @@
 """The read buffer of a connection: grows as needed, is compacted in place, and shrinks when it is empty."""
 
 import socket
+from typing import TYPE_CHECKING
 
 from gullhold.net.connection_ends import ProtocolError
+from gullhold.net.receive_memory import ReceiveMemoryError
+
+if TYPE_CHECKING:
+    from gullhold.net.connection import Connection
+    from gullhold.net.receive_memory import ReceiveMemory
 
 INITIAL_BYTES = 4096  # a page of memory, enough for most messages
 
 
 class Buffer:
-    """The bytes that have arrived and are not consumed yet, data[start:end]; max_bytes: their limit."""
+    """The bytes that have arrived and are not consumed yet, data[start:end]; max_bytes: their limit.
+
+    memory: in which it reserves what it grows by; connection: woken when the buffer is given up. None: it
+    reserves nothing.
+    """
 
-    def __init__(self, max_bytes: int) -> None:
+    def __init__(
+        self,
+        max_bytes: int,
+        memory: "ReceiveMemory | None" = None,
+        connection: "Connection | None" = None,
+    ) -> None:
         self.max_bytes = max_bytes
+        self._memory = memory
+        self._connection = connection
+        self._is_given_up = False
         self.data = bytearray(INITIAL_BYTES)
         self.start = 0
         self.end = 0
@@ -20,10 +38,17 @@
         return self.end - self.start
 
     def receive(self, sock: socket.socket) -> int:
-        """Read from a socket once; return the number of bytes read, 0 at the end of the stream."""
+        """Read from a socket once; return the number of bytes read, 0 at the end of the stream.
+
+        Raises ReceiveMemoryError if the buffer was given up.
+        """
+        if self._is_given_up:
+            raise ReceiveMemoryError("given up, as the read buffers exceeded their limit")
         self._make_room(1)
         with memoryview(self.data) as view, view[self.end :] as tail:
             count = sock.recv_into(tail)
+        if not count and self._is_given_up:
+            raise ReceiveMemoryError("given up, as the read buffers exceeded their limit")
         self.end += count
         return count
 
@@ -52,6 +77,18 @@
         self.end = 0
         if len(self.data) > INITIAL_BYTES:
             self.data = bytearray(INITIAL_BYTES)
+            if self._memory:
+                self._memory.release(self)
+
+    def clear(self) -> None:
+        """Discard all bytes."""
+        self.consume(len(self))
+
+    def give_up(self) -> None:
+        """Have the next receive() raise ReceiveMemoryError, also one that waits now. From any thread."""
+        self._is_given_up = True
+        if self._connection:
+            self._connection.shutdown(socket.SHUT_RD)
 
     def _make_room(self, size: int) -> None:
         """Compact or extend data, so that size bytes can be appended. Raises ProtocolError over max_bytes."""
@@ -67,4 +104,6 @@
         if used + max(size, INITIAL_BYTES) > len(self.data):
             wanted = max(len(self.data), size)
             growth = min(wanted, max(self.max_bytes - len(self.data), size))
+            if self._memory:
+                self._memory.reserve(self, growth)
             self.data.extend(bytes(growth))
--- a/gullhold/net/client_calls.py
+++ b/gullhold/net/client_calls.py
@@ -43,16 +43,18 @@
         """Handle a call that was read, or defer it during a pause; interrupts are never deferred."""
         call = ReceivedCall(frame, received_at_us)
         if call.method == "interrupt":
-            sequence_id = call.fields.get(SEQUENCE_ID_ARGUMENT)
+            sequence_id = call.decode_arguments().get(SEQUENCE_ID_ARGUMENT)
             if sequence_id is not None:
                 self._interrupt(sequence_id)
         elif not self.backpressure.must_defer():
             self._process(call)
-        elif call.method == "execute" and self.backpressure.is_full():
+        elif self.backpressure.defer(call):
+            pass
+        elif call.method == "execute":
             self.counters.add("requests_received")
             self._reject(call.sequence_id, "rejected_backpressure")
         else:
-            self.backpressure.defer(call)
+            self._process(call)
 
     def handle_deferred(self) -> None:
         """Handle the deferred calls that are due."""
@@ -70,7 +72,7 @@
 
     def reject_deferred(self) -> None:
         """Shed each deferred request, as the connection is no longer read."""
-        for deferred in self.backpressure.deferred_calls:
+        for deferred in self.backpressure.take_all():
             if deferred.method == "execute":
                 self.rejections.append(thrift.encode_shed(deferred.sequence_id, {}))
 
@@ -82,6 +84,8 @@
             return
         if client.undelivered.pop(sequence_id, None) is not None:
             return  # the core drops the request when it processes it
+        if sequence_id in client.interrupted:
+            return  # the core has yet to process an earlier interrupt
         client.interrupted.add(sequence_id)  # no longer counted as open, though not settled yet
         if sequence_id in client.open_requests:
             self.core.post_urgent(self.core.interrupt, client, sequence_id)
@@ -94,7 +98,7 @@
         if call.method == "execute":
             self._execute(call)
         elif call.method == "check":
-            self.core.post(self.core.check, self.client, call.sequence_id)
+            self._check(call.sequence_id)
         else:
             self.counters.add("unknown_calls")
             text = "unknown method"
@@ -104,6 +108,14 @@
                 )
             )
 
+    def _check(self, sequence_id: int) -> None:
+        """Post a health check to the core. What waits there is bounded: usual clients have one check open."""
+        client = self.client
+        if client.posted_check_count - client.answered_check_count >= MAX_OPEN_REQUESTS:
+            raise ProtocolError(f"{MAX_OPEN_REQUESTS} calls of check are unanswered")
+        client.posted_check_count += 1
+        self.core.post(self.core.check, client, sequence_id)
+
     def _execute(self, call: ReceivedCall) -> None:
         """Post a request to the core, or answer it here if it is unusable or rejected.
 
@@ -127,8 +139,9 @@
             self.counters.add("rejected_connection_limit")
             self.client.put(thrift.encode_shed(sequence_id, {}))
             return
-        fields = call.fields.get(FIELDS_ARGUMENT)
-        statement = call.fields.get(STATEMENT_ARGUMENT)
+        arguments = call.decode_arguments()
+        fields = arguments.get(FIELDS_ARGUMENT)
+        statement = arguments.get(STATEMENT_ARGUMENT)
         if fields is None or statement is None:
             self.counters.add("invalid_requests")
             self.client.put(
@@ -199,7 +212,7 @@
         if not self.core.overload.admits(request.timeout_us):
             self._reject(sequence_id, "rejected_overload")
             return
-        if not self.core.statement_memory.reserve(len(request.statement)):
+        if not self.core.statement_memory.reserve(request.kept_bytes):
             self._reject(sequence_id, "rejected_statement_memory")
             return
         self.client.posted_count += 1
--- a/gullhold/net/client_connection.py
+++ b/gullhold/net/client_connection.py
@@ -49,7 +49,7 @@
         self.connection = Connection(sock)
         self.core = core
         self.peer = peer
-        self.decoder = thrift.Decoder(max_message_bytes)
+        self.decoder = thrift.Decoder(max_message_bytes, core.receive_memory, self.connection)
         self.write_buffer = WriteBuffer(
             MAX_OPEN_REQUESTS * (MAX_RESULT_BYTES + max_message_bytes), core.counters, core.flusher
         )
@@ -61,13 +61,15 @@
         self.posted_count = 0  # number of requests posted to the core
         self.settled_count = 0  # number of posted requests whose answer is decided, or that are dropped
         self.completed_count = 0  # number of settled requests whose answer was put, or that are dropped
+        self.posted_check_count = 0  # health checks posted to the core
+        self.answered_check_count = 0  # those that it has answered
         self.is_ending = False  # the connection is no longer read, or is to end soon
         self.has_left = False  # the client closed it, or it broke: no answers are expected any more
         self.is_draining = False  # the connection is to end once all its requests are answered
         self.end_requested = False  # the core was asked whether the idle connection may end
         self.may_end = False  # the core has allowed the idle connection to end
         self.local_end: tuple[ConnectionEnd, str] | None = None  # why we ended it, with a detail for the log
-        self.backpressure = Backpressure()
+        self.backpressure = Backpressure(core.statement_memory)
         self.calls = ClientCalls(self, reader)
         self.idle_timer = IdleTimer()
         self.read_timeout_us = MAX_READ_WAIT_US
@@ -130,6 +132,7 @@
         if self.local_end:
             end, detail = self.local_end
         self.is_ending = True
+        self.decoder.buffer.clear()
         if end in connection_ends.CLIENT_STILL_WAITS:  # posted behind its requests, so that each is answered
             self.calls.reject_deferred()
             self.write_rejections()
@@ -137,6 +140,7 @@
         else:  # ahead of all other events: no more attempts must be sent for this client
             self.has_left = True
             self.core.post_urgent(self.core.client_ended, self, end, detail)
+            self.backpressure.take_all()
 
     def write_rejections(self) -> bool:
         """From the reader thread: send the collected rejections in one write; return whether any existed."""
@@ -290,6 +294,8 @@
         """
         buffer = self.decoder.buffer
         while len(buffer) < MAX_CLOSING_READ_BYTES and self.connection.is_readable():
+            if not self.core.receive_memory.has_room(MAX_CLOSING_READ_BYTES):
+                return  # what has been read is handled first
             if not buffer.receive(self.connection.sock):
                 return
 
--- a/gullhold/net/core.py
+++ b/gullhold/net/core.py
@@ -26,6 +26,7 @@
 from gullhold.net.overload import OverloadControl
 from gullhold.net.pending_requests import Client, PendingRequests
 from gullhold.net.reading_turns import ReadingTurns
+from gullhold.net.receive_memory import ReceiveMemory
 from gullhold.net.request_admission import RequestAdmission
 from gullhold.net.request_reader import Request
 from gullhold.net.shutdown import GracefulShutdown
@@ -63,9 +64,10 @@
     """Owns the gateway's state. Only run() and what it calls touch it; other threads use post().
 
     gateway: the decision module. max_message_bytes: size limit of a message. max_connections: how many
-    connections to engines may hold a descriptor. statement_memory: the memory for the statements of all
-    clients. admission_queue: None if it is off. retry_after_field: name of the field of a shed answer that
-    states the Retry-After time; empty if answers have none.
+    connections to engines may hold a descriptor. statement_memory: the memory for the requests of all
+    clients; receive_memory: for their messages that have not arrived completely. admission_queue: None if it
+    is off. retry_after_field: name of the field of a shed answer that states the Retry-After time; empty if
+    answers have none.
 
     To drive a core without threads, override clock() and connect, and call begin() and turn().
     """
@@ -81,6 +83,7 @@
         max_message_bytes: int,
         max_connections: int,
         statement_memory: StatementMemory,
+        receive_memory: ReceiveMemory,
         admission_queue: "AdmissionQueue | None" = None,
         retry_after_field: str = "",
     ) -> None:
@@ -89,6 +92,7 @@
         self.agreement = agreement
         self.max_message_bytes = max_message_bytes
         self.statement_memory = statement_memory
+        self.receive_memory = receive_memory
         self.admission_queue = admission_queue
         self.retry_after_field = retry_after_field.encode()
         self.flusher: Flusher | None = None  # completes writes that the socket did not accept at once
@@ -168,12 +172,13 @@
         """Handle the end of a client's connection; its reader has stopped. detail: details for the log."""
         self.requests.client_ended(client, end, detail)
 
-    def check(self, client: Client, sequence_id: int) -> None:
+    def check(self, client: "ClientConnection", sequence_id: int) -> None:
         """Answer a health check. The core's thread answers, so that a core that is stuck does not pass it."""
         is_serving = self.endpoint_list.has_initial_list and not self.shutdown_began_at
         if is_serving and self.gate:
             is_serving = not self.gate.rejects_new()
         client.put(thrift.encode_answer("check", sequence_id, good=is_serving))
+        client.answered_check_count += 1
 
     def close_if_idle(self, client: "ClientConnection") -> None:
         """Allow the reader of an idle connection to end it, unless a request has arrived meanwhile."""
--- a/gullhold/net/pending_requests.py
+++ b/gullhold/net/pending_requests.py
@@ -71,12 +71,12 @@
         "attempts_started",
         "client",
         "grant_mb",
+        "kept_bytes",
         "last_outcome",
         "number",
         "priority",
         "request",
         "sequence_id",
-        "statement_bytes",
         "timeout_at_us",
     )
 
@@ -92,7 +92,7 @@
         self.priority = 1
         self.attempt: Attempt | None = None
         self.attempts_started = 0
-        self.statement_bytes = len(request.statement)  # reserved in the statement memory
+        self.kept_bytes = request.kept_bytes  # reserved in the statement memory
         self.last_outcome = ""  # outcome of the last attempt, as text for the event log
 
 
@@ -240,9 +240,9 @@
 
     def forget(self, pending: PendingRequest) -> None:
         """Remove a settled request without an open attempt, and release the memory of its statement."""
-        if pending.statement_bytes:
-            self.core.statement_memory.release(pending.statement_bytes)
-            pending.statement_bytes = 0
+        if pending.kept_bytes:
+            self.core.statement_memory.release(pending.kept_bytes)
+            pending.kept_bytes = 0
         if self.by_number.pop(pending.number, None):
             self.by_transaction_id.pop(pending.request.transaction_id, None)
             if self.core.admission_queue:
--- a/gullhold/net/request_reader.py
+++ b/gullhold/net/request_reader.py
@@ -38,6 +38,11 @@
     is_retry: bool  # the client has sent this command before
     client_name: bytes = b""  # name by which the admission queue knows the client; empty without a queue
 
+    @property
+    def kept_bytes(self) -> int:
+        """Size of what is kept of the client's message until the request is settled."""
+        return len(self.statement) + len(self.idempotency_key)
+
 
 class RequestFault(StrEnum):
     """What is wrong with a field of a request; the value is part of the text for the client."""
--- a/gullhold/net/statement_memory.py
+++ b/gullhold/net/statement_memory.py
@@ -1,4 +1,4 @@
-"""Limits the memory for statements of pending requests and for unread answers, of all clients together."""
+"""Limits the memory for what pending requests keep, and for unread answers, of all clients together."""
 
 from threading import Lock
 from typing import TYPE_CHECKING
@@ -8,10 +8,11 @@
 
 
 class StatementMemory:
-    """Reserves memory for statements, and checks the memory for unread answers; each may use max_bytes.
+    """Reserves memory for requests, and checks the memory for unread answers; each may use max_bytes.
 
-    Protects the memory limit of the process: one connection buffers little, but hundreds of clients that send
-    large statements or do not read answers would exceed it. May be used from any thread.
+    A request reserves its statement and idempotency key, or its whole message while it is deferred. Protects
+    the memory limit of the process: one connection keeps little, but hundreds of clients that send large
+    requests or do not read answers would exceed it. May be used from any thread.
 
     clients: the open client connections, maintained by the listener.
     """
@@ -23,7 +24,7 @@
         self.clients: set[ClientConnection] = set()
 
     def reserve(self, size: int) -> bool:
-        """Reserve bytes for a statement until release(); False if that would exceed max_bytes."""
+        """Reserve bytes for a request until release(); False if that would exceed max_bytes."""
         with self.lock:
             if self.used_bytes + size > self.max_bytes:
                 return False
@@ -31,7 +32,7 @@
             return True
 
     def release(self, size: int) -> None:
-        """Return bytes that were reserved for a statement."""
+        """Return bytes that were reserved for a request."""
         with self.lock:
             self.used_bytes -= size
 
--- a/gullhold/net/thrift.py
+++ b/gullhold/net/thrift.py
@@ -8,11 +8,15 @@
 import struct
 from collections.abc import Collection, Iterator, Mapping
 from enum import IntEnum
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from gullhold.net.buffer import Buffer
 from gullhold.net.connection_ends import ProtocolError
 
+if TYPE_CHECKING:
+    from gullhold.net.connection import Connection
+    from gullhold.net.receive_memory import ReceiveMemory
+
 
 class MessageType(IntEnum):
     """Types of a message, as the protocol numbers them."""
@@ -120,9 +124,9 @@
 class FrameReader:
     """Reads the values of one frame in order. All methods raise ProtocolError for malformed bytes."""
 
-    def __init__(self, data: bytes) -> None:
+    def __init__(self, data: bytes, position: int = 0) -> None:
         self.data = data
-        self.position = 0  # index of the next byte to read
+        self.position = position  # index of the next byte to read
         self.value_count = 0  # values that were read or announced
 
     def read(self, size: int) -> bytes:
@@ -232,10 +236,18 @@
 
 
 class Decoder:
-    """Splits the bytes of a connection into frames or calls; the caller puts the bytes into `buffer`."""
-
-    def __init__(self, max_bytes: int) -> None:
-        self.buffer = Buffer(max_bytes)
+    """Splits the bytes of a connection into frames or calls; the caller puts the bytes into `buffer`.
+
+    memory, connection: as of a Buffer.
+    """
+
+    def __init__(
+        self,
+        max_bytes: int,
+        memory: "ReceiveMemory | None" = None,
+        connection: "Connection | None" = None,
+    ) -> None:
+        self.buffer = Buffer(max_bytes, memory, connection)
 
     def calls(self) -> Iterator[Message]:
         """Consume and decode the calls that have arrived completely. Raises ProtocolError."""
--- a/gullhold/simulation/gateway.py
+++ b/gullhold/simulation/gateway.py
@@ -18,6 +18,7 @@
 from gullhold.net.core import Core
 from gullhold.net.counters import Counters
 from gullhold.net.engine_connection import EngineConnection
+from gullhold.net.receive_memory import ReceiveMemory
 from gullhold.net.request_reader import RequestReader
 from gullhold.net.statement_memory import StatementMemory
 from gullhold.simulation.clock import Event
@@ -30,6 +31,7 @@
 MAX_MESSAGE_BYTES = 192 << 10  # limit of a small deployment
 MAX_CONNECTIONS = 200  # connections of one gateway to engines
 STATEMENT_MEMORY_BYTES = 24 << 20  # limit of the statements of pending requests
+RECEIVE_MEMORY_BYTES = 12 << 20  # limit of messages of clients that are not complete yet
 MAX_DISCOVERY_LINE_BYTES = 1 << 20  # limit of one line from the discovery service
 CONNECTION_SERIALS = count()  # hashes of connections, so that sets of them have the same order in every run
 
@@ -208,6 +210,7 @@
             MAX_MESSAGE_BYTES,
             MAX_CONNECTIONS,
             StatementMemory(STATEMENT_MEMORY_BYTES),
+            ReceiveMemory(RECEIVE_MEMORY_BYTES),
         )
         self.reader = RequestReader(agreement, None, self.core.retry_after_field)
         self.engine_ids = configuration.engine_ids
--- a/tests/test_message_costs.py
+++ b/tests/test_message_costs.py
@@ -6,9 +6,9 @@
 
 from serving import until
 
-from gullhold.net import engine_connection, request_reader, resp, statement
-from gullhold.testing.client import BlockingClient
-from gullhold.testing.scripted import ScriptedEngine, serve_pages
+from gullhold.net import client_limits, engine_connection, request_reader, resp, statement, thrift
+from gullhold.testing.client import BlockingClient, execute_arguments
+from gullhold.testing.scripted import ScriptedEngine, never_finish, serve_pages
 
 LONG_STATEMENT = b"select 1 from sales_3.t" + b" " * 5000
 
@@ -122,3 +122,83 @@
     until(lambda: not gateway.core.attempts.page_bytes)
     seq = client.send_command()
     assert client.read_answer() == (seq, b"a\tb\tc\n")
+
+
+def send_incomplete(client, arrived_bytes):
+    """Send the start of a message of 80,000 bytes, of which the rest never follows."""
+    client.sock.sendall(b"\x00\x01\x38\x80" + b"x" * (arrived_bytes - 4))
+
+
+def test_incomplete_messages_over_their_memory_end_the_connections_that_keep_most(start_gateway):
+    """Guards against hundreds of clients that each send a part of a message: 196,608 bytes a connection."""
+    gateway, client = start_gateway(ScriptedEngine())
+    memory = gateway.core.receive_memory
+    assert memory.max_bytes == 192 * 2**20 // 16
+    memory.max_bytes = 300_000
+    frame = thrift.encode_message(
+        thrift.CALL,
+        "execute",
+        1,
+        execute_arguments({b"verb": b"read", b"txn": b"%016x" % 7, b"limit": b"3000"}, b" " * 10_000)
+        + thrift.END_OF_STRUCT,
+    )
+    client.sock.sendall(frame[:9000])  # less than the others
+    until(lambda: memory.used_bytes)
+    others = [BlockingClient(gateway.address) for _ in range(20)]
+    for other in others:
+        send_incomplete(other, 70_000)
+    until(lambda: gateway.count("client_connections_ended_malformed") >= 17)
+    assert memory.used_bytes <= memory.max_bytes
+    client.sock.sendall(frame[9000:])
+    assert client.read_answer() == (1, b"a\tb\tc\n")
+    until(lambda: len(gateway.listener.clients) == 1)  # the others took too long for a message
+    until(lambda: not memory.used_bytes)
+
+
+def test_connection_that_is_given_up_for_its_buffer_still_gets_answers_to_its_requests(start_gateway):
+    engine = ScriptedEngine(never_finish)
+    gateway, client = start_gateway(engine)
+    gateway.core.receive_memory.max_bytes = 20_000
+    seq = client.send_command("once")
+    until(lambda: engine.messages(b"fetch"))
+    send_incomplete(client, 60_000)
+    assert client.read_answer() == (seq, "fault")
+    assert client.read_answer() is None
+
+
+def test_deferred_calls_and_idempotency_keys_are_counted_in_the_memory_of_requests(start_gateway):
+    """Guards against what is kept of a message without being counted: all but its statement."""
+    engine = ScriptedEngine(never_finish)
+    gateway, client = start_gateway(engine, connect_timeout=1.0)
+    memory = gateway.core.statement_memory
+    memory.max_bytes = 50_000
+    kept = client.send_command("mark", unique=b"k" * 20_000)
+    until(lambda: 20_000 <= memory.used_bytes < 21_000)
+    client.send_command("odd")  # an unknown profile: an invalid request begins a pause
+    assert client.read_answer()[1] == "fault"
+    deferred = client.send_command(body=b" " * 20_000)
+    until(lambda: memory.used_bytes > 40_000)
+    rejected = client.send_command(body=b" " * 20_000)
+    assert client.read_answer() == (rejected, "shed")
+    client.interrupt(deferred)
+    until(lambda: memory.used_bytes < 21_000)
+    client.interrupt(kept)
+
+
+def test_health_checks_and_interrupts_that_wait_for_the_core_are_bounded(start_gateway):
+    """Guards against events of one connection that fill the core's queue, each of a message of 30 bytes."""
+    gateway, client = start_gateway(ScriptedEngine(never_finish))
+    seq = client.send_command()
+    until(lambda: gateway.core.requests.by_number)
+    other, may_go_on = BlockingClient(gateway.address), Event()
+    gateway.core.post_first(may_go_on.wait)
+    for _ in range(500):
+        client.interrupt(seq)
+    for _ in range(500):
+        other.send("check", b"\x02\0\1\1")
+    until(lambda: any(each.is_ending for each in gateway.listener.clients) or len(gateway.core.queue) > 100)
+    assert len(gateway.core.queue) <= client_limits.MAX_OPEN_REQUESTS + 8
+    may_go_on.set()
+    for _ in range(client_limits.MAX_OPEN_REQUESTS):
+        assert other.read_answer().result == b""
+    assert other.read_answer() is None
