--- a/gullhold/decisions/dispatcher.py
+++ b/gullhold/decisions/dispatcher.py
@@ -101,7 +101,8 @@
         self._retries.record_attempt(command, now)
         command.begin_attempt(engine, now)
         self._lifecycle.change_state(command, CommandState.DISPATCHED)
-        self._call.results.append(Dispatch(command.id, engine.id, command.last_start_at))
+        send_until = self._retries.send_until(command)
+        self._call.results.append(Dispatch(command.id, engine.id, command.last_start_at, send_until))
         if command.is_idempotent:
             self._reviews.add(self._attempt_review.first_review_at(run_us, now), command)
 
--- a/gullhold/decisions/retry_policy.py
+++ b/gullhold/decisions/retry_policy.py
@@ -38,7 +38,17 @@
             return False
         if not command.may_have_run or command.is_idempotent:
             return True
-        return command.is_keyed and now + DEADLINE_MARGIN_US < command.deduplication_until
+        return command.is_keyed and now < command.deduplication_until - DEADLINE_MARGIN_US
+
+    def send_until(self, command: Command) -> int:
+        """Return the time before which an attempt that is dispatched now must be sent.
+
+        An attempt may wait for its connection after it was dispatched: a retry that reaches an engine after
+        the deduplication window would run a second time.
+        """
+        if command.is_keyed and command.may_have_run:
+            return min(command.last_start_at, command.deduplication_until - DEADLINE_MARGIN_US)
+        return command.last_start_at
 
     def may_start(self, command: Command, now: int) -> bool:
         """Whether an attempt may start now, by its last start, may_retry(), key order and retry budget."""
--- a/gullhold/interface.py
+++ b/gullhold/interface.py
@@ -86,11 +86,16 @@
 
 
 class Dispatch(NamedTuple):
-    """Result: start an attempt of the command on the engine, not later than the deadline."""
+    """Result: start an attempt of the command on the engine, not later than the deadline.
+
+    send_until_us: its fetch must be written before this time, by which the attempt may have waited for a
+    connection; the deadline, or earlier where the deduplication window of an attempt that may have run ends.
+    """
 
     command: int
     engine: int
     deadline_us: int
+    send_until_us: int
 
 
 class SetGrantAndPriority(NamedTuple):
--- a/gullhold/net/attempts.py
+++ b/gullhold/net/attempts.py
@@ -5,9 +5,10 @@
 
 from gullhold.interface import NEVER_RAN, Dispatch, Outcome
 from gullhold.net import ceil_to_ms, engine_protocol, resp
+from gullhold.net.connection_ends import ConnectionEnd
 from gullhold.net.engine_connection import NO_RESOURCES, Attempt, EngineConnection
 from gullhold.net.eventlog import EventKind, LoggedEvent
-from gullhold.net.write_buffer import Rejection
+from gullhold.net.write_buffer import Rejection, SendConditions
 
 if TYPE_CHECKING:
     from gullhold.net.core import Core
@@ -44,7 +45,7 @@
             return
         attempt = Attempt(pending, pending.attempts_started, core.now)
         pending.attempts_started += 1
-        if pending.attempt or not pending.client or dispatch.deadline_us <= core.now:
+        if pending.attempt or not pending.client or dispatch.send_until_us <= core.now:
             self._report_never_started(attempt)
             return
         pending.attempt = attempt
@@ -52,7 +53,9 @@
             self._log_retry(pending)
         if core.admission_queue:
             core.admission_queue.attempt_sent(dispatch.command)
-        connection = core.pool.connection_for(dispatch.engine, pending.request.transaction_id)
+        connection = None
+        if not pending.client.has_left:  # otherwise the event of its end is about to be handled
+            connection = core.pool.connection_for(dispatch.engine, pending.request.transaction_id)
         if connection is None:
             # No descriptor or thread was left, which is not the engine's fault. Reported only after the
             # connect timeout, so that the same request is not dispatched again and again without a pause.
@@ -60,6 +63,7 @@
             core.call_later(reported_at_us, self.end, attempt, Outcome.NOT_STARTED)
             return
         attempt.deadline_us = dispatch.deadline_us
+        attempt.send_until_us = dispatch.send_until_us
         attempt.fencing_tokens = core.fencing_tokens()
         self._send(attempt, connection)
 
@@ -107,7 +111,7 @@
         transaction_id = attempt.pending.request.transaction_id
         self._log_abandoned(attempt, outcome)
         if connection and connection.open_attempts.get(transaction_id) is attempt:
-            if connection.write_buffer.withdraw(attempt.message):
+            if attempt.is_discarded or connection.write_buffer.withdraw(attempt.message):
                 outcome = Outcome.NOT_STARTED
             elif self._needs_confirmation(attempt, outcome):
                 if attempt.outcome_once_confirmed is None:
@@ -161,19 +165,41 @@
         attempt.connection = connection
         connection.used_at = core.now
         connection.open_attempts[request.transaction_id] = attempt
-        tokens = attempt.fencing_tokens
         # The remaining time is encoded again if the message has to wait: its connection may open late, or the
         # engine may be slow to read the messages before it.
-        attempt.end_offset = connection.write_buffer.put(
-            attempt.message,
-            (lambda: core.are_tokens_valid(tokens)) if tokens else None,
-            lambda: encode_fetch(core.clock()),
+        conditions = SendConditions(
+            is_allowed=lambda: core.pool.may_be_sent(connection, attempt),
+            reencode=lambda: encode_fetch(core.clock()),
+            discarded=lambda: self._discarded(attempt),
         )
+        attempt.end_offset = connection.write_buffer.put(attempt.message, conditions)
         if attempt.end_offset < 0:
             self._handle_rejected_write(attempt, connection)
             return
         self.counters.add("attempts_sent")
         core.call_later(attempt.deadline_us, self._deadline_passed, attempt)
+        if attempt.send_until_us < attempt.deadline_us:
+            core.call_later(attempt.send_until_us, self._take_back, attempt)
+
+    def _discarded(self, attempt: Attempt) -> None:
+        """From the thread that writes: an attempt that had to wait was not sent."""
+        attempt.is_discarded = True
+        self.core.post_first(self._end_unsent, attempt)
+
+    def _end_unsent(self, attempt: Attempt) -> None:
+        """End an attempt that was taken out of the write buffer, as it must not be sent any more."""
+        self.counters.add("attempts_withdrawn")
+        self.end(attempt, Outcome.NOT_STARTED)
+
+    def _take_back(self, attempt: Attempt) -> None:
+        """At the time from which on an attempt must not be sent: prevent that the rest of it is."""
+        connection = attempt.connection
+        if attempt.pending.attempt is not attempt or connection is None or attempt.is_discarded:
+            return
+        if connection.write_buffer.withdraw(attempt.message):
+            self._end_unsent(attempt)
+        elif not connection.write_buffer.is_written(attempt.end_offset):
+            self.core.pool.drop(connection, ConnectionEnd.PEER_NOT_READING)  # part of the message is sent
 
     def _handle_rejected_write(self, attempt: Attempt, connection: EngineConnection) -> None:
         """End an attempt whose fetch the write buffer did not accept."""
--- a/gullhold/net/engine_connection.py
+++ b/gullhold/net/engine_connection.py
@@ -55,6 +55,7 @@
         "deadline_us",
         "end_offset",
         "fencing_tokens",
+        "is_discarded",
         "last_reply_at",
         "message",
         "number",
@@ -64,6 +65,7 @@
         "pending",
         "resources",
         "result_bytes",
+        "send_until_us",
         "sent_at",
     )
 
@@ -75,7 +77,9 @@
         self.connection: EngineConnection | None = None
         self.message = b""
         self.end_offset = 0  # end of its fetch in the stream of the write buffer; negative: a Rejection
-        self.deadline_us = 0  # time after which it must not be sent
+        self.deadline_us = 0  # time at which it is given up
+        self.send_until_us = 0  # time from which on it must not be sent
+        self.is_discarded = False  # the write buffer has not sent it, as its conditions did not hold any more
         self.fencing_tokens: tuple[object, ...] = ()  # valid when the attempt was decided
         self.pages: list[bytes] = []
         self.page_count = 0
--- a/gullhold/net/engine_pool.py
+++ b/gullhold/net/engine_pool.py
@@ -70,12 +70,27 @@
             return
         self.counters.add("engine_connections_opened")
         for attempt in list(connection.open_attempts.values()):
-            may_be_sent = self._may_be_sent(connection, attempt)
+            may_be_sent = self.may_be_sent(connection, attempt)
             if not may_be_sent and connection.write_buffer.withdraw(attempt.message):
                 self.counters.add("attempts_withdrawn")
                 self.core.defer(self.core.attempts.end, attempt, Outcome.NOT_STARTED)
         connection.write_buffer.attach(connection.connection)
 
+    def may_be_sent(self, connection: EngineConnection, attempt: Attempt) -> bool:
+        """Whether all that allowed an attempt when it was decided still does. From any thread.
+
+        Asked right before its first byte is written, which may be long after the decision: its connection may
+        open late, the engine may read slowly, or the process may have been suspended.
+        """
+        client = attempt.pending.client
+        return (
+            client is not None
+            and not client.has_left
+            and connection.endpoint.state == EngineState.READY
+            and self.core.clock() < attempt.send_until_us
+            and self.core.are_tokens_valid(attempt.fencing_tokens)
+        )
+
     def send_control(self, connection: EngineConnection, *strings: bytes) -> None:
         """Send a message other than a fetch: an abort, a health check, a request for a page.
 
@@ -133,14 +148,6 @@
                 connection.begin_close(ConnectionEnd.RETIRED)
         self.counters.add("engine_connections_no_descriptor")
 
-    def _may_be_sent(self, connection: EngineConnection, attempt: Attempt) -> bool:
-        return bool(
-            attempt.pending.client
-            and connection.endpoint.state == EngineState.READY
-            and attempt.deadline_us > self.core.now
-            and self.core.are_tokens_valid(attempt.fencing_tokens)
-        )
-
     @staticmethod
     def _update_orderly_closes(connection: EngineConnection, end: ConnectionEnd) -> None:
         """Record whether this engine closes its connections in an orderly way."""
@@ -180,6 +187,8 @@
     @staticmethod
     def _outcome(connection: EngineConnection, attempt: Attempt, end: ConnectionEnd) -> Outcome:
         is_written = attempt.end_offset > 0 and connection.write_buffer.is_written(attempt.end_offset)
+        if attempt.is_discarded:
+            return Outcome.NOT_STARTED
         outcome = connection_ends.attempt_outcome(is_written)
         if outcome == Outcome.CONNECT_FAILED and end in connection_ends.PEER_NOT_AT_FAULT:
             return Outcome.NOT_STARTED
--- a/gullhold/net/write_buffer.py
+++ b/gullhold/net/write_buffer.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from enum import IntEnum
 from threading import Lock
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from gullhold.net.connection import Connection
 from gullhold.net.counters import Counters
@@ -21,20 +21,36 @@
     NOT_ALLOWED = -2  # is_allowed() returned False
 
 
+class SendConditions(NamedTuple):
+    """What is checked again when a message is written: it may have waited since it was decided.
+
+    All are called with the buffer's lock held, by the thread that writes.
+
+    is_allowed(): called right before the first byte is written; False: the message is not sent.
+    reencode(): if the message had to wait, returns it as of now.
+    discarded(): called if the message had to wait and is not allowed any more.
+    """
+
+    is_allowed: Callable[[], bool]
+    reencode: Callable[[], bytes]
+    discarded: Callable[[], None]
+
+
 class BufferedMessage:
     """A message in a write buffer.
 
-    remaining: the bytes that are not written yet. end_offset: as returned by put(). reencode: if given,
-    returns the message as of the time at which it is written. is_started: some of its bytes are written.
+    remaining: the bytes that are not written yet. end_offset: as returned by put(). conditions: to be checked
+    before its first byte is written; None if there are none, or they were just checked. is_started: some of
+    its bytes are written.
     """
 
-    __slots__ = ("data", "end_offset", "is_started", "remaining", "reencode")
+    __slots__ = ("conditions", "data", "end_offset", "is_started", "remaining")
 
-    def __init__(self, data: bytes, end_offset: int, reencode: Callable[[], bytes] | None) -> None:
+    def __init__(self, data: bytes, end_offset: int, conditions: SendConditions | None) -> None:
         self.data = data
         self.remaining: bytes | memoryview = data
         self.end_offset = end_offset
-        self.reencode = reencode
+        self.conditions = conditions
         self.is_started = False
 
 
@@ -69,28 +85,22 @@
             self.connection = connection
             self._write()
 
-    def put(
-        self,
-        data: bytes,
-        is_allowed: Callable[[], bool] | None = None,
-        reencode: Callable[[], bytes] | None = None,
-    ) -> int:
+    def put(self, data: bytes, conditions: SendConditions | None = None) -> int:
         """Write or queue one message; return the offset of its end, or a Rejection.
 
-        is_allowed(): called right before the message is written, but not before attach(); False rejects it.
-        reencode(): called when a message that had to wait is written; returns the message to write instead.
+        conditions: checked now if it is written at once, and whenever it is written later.
         """
         with self.lock:
             if self.is_closed or self.is_finishing or self.size + len(data) > self.max_bytes:
                 return Rejection.CLOSED_OR_FULL
-            if is_allowed and self.connection is not None and not is_allowed():
+            if conditions and self.connection is not None and not conditions.is_allowed():
                 return Rejection.NOT_ALLOWED
             self.end_offset += len(data)
             self.size += len(data)
             must_wait = self.is_flushing or self.connection is None
-            self.pending.append(BufferedMessage(data, self.end_offset, reencode if must_wait else None))
+            self.pending.append(BufferedMessage(data, self.end_offset, conditions if must_wait else None))
             if not must_wait:
-                self._write(reencode)
+                self._write(conditions)
             return self.end_offset
 
     def is_written(self, offset: int) -> bool:
@@ -158,15 +168,18 @@
         if self.connection is not None:
             self.connection.shutdown()
 
-    def _write(self, reencode: Callable[[], bytes] | None = None) -> None:
+    def _write(self, conditions: SendConditions | None = None) -> None:
         """With the lock held: write as much as the socket accepts, and leave the rest to the flusher.
 
-        reencode: the function of the only message, kept for the message if none of it is written now.
+        conditions: of the only message, kept for the message if none of it is written now.
         """
         while self.pending and self.connection is not None and not self.is_closed:
             message = self.pending[0]
-            if message.reencode:
-                self._replace(message, message.reencode())
+            if message.conditions and not message.conditions.is_allowed():
+                self._discard_first()
+                continue
+            if message.conditions:
+                self._replace(message, message.conditions.reencode())
             try:
                 count = self.connection.send(message.remaining)
             except OSError as error:
@@ -175,22 +188,29 @@
                 return
             self.size -= count
             if count < len(message.remaining):
-                self._leave_to_flusher(message, count, reencode)
+                self._leave_to_flusher(message, count, conditions)
                 return
             self.pending.popleft()
         if self.is_finishing and not self.pending and not self.is_closed:
             self._send_end()
 
+    def _discard_first(self) -> None:
+        """With the lock held: discard the first message, of which nothing was written."""
+        message = self.pending.popleft()
+        self.size -= len(message.remaining)
+        if message.conditions:
+            message.conditions.discarded()
+
     def _leave_to_flusher(
-        self, message: BufferedMessage, count: int, reencode: Callable[[], bytes] | None
+        self, message: BufferedMessage, count: int, conditions: SendConditions | None
     ) -> None:
         """With the lock held: leave all but the first count bytes of a message to the flusher."""
         if count:
             message.is_started = True
-            message.reencode = None
+            message.conditions = None
             message.remaining = memoryview(message.remaining)[count:]
         else:
-            message.reencode = message.reencode or reencode
+            message.conditions = message.conditions or conditions
         self.is_flushing = True
         self.counters.add("partial_writes")
         assert self.flusher is not None, "the core has no flusher, but the socket did not accept all bytes"
--- a/gullhold/simulator_adapter/actions.py
+++ b/gullhold/simulator_adapter/actions.py
@@ -29,7 +29,7 @@
 def encode_result(instance: int, result: Result) -> bytes:
     """Encode a result as a record. Raises TypeError for a ReportDemand: the simulator has no budgets."""
     match result:
-        case Dispatch(command, engine, deadline_us):
+        case Dispatch(command, engine, deadline_us, _):
             deadline_s = deadline_us / US_PER_SECOND
             return _record(wire.TRY, ActionCode.TRY, instance, command, deadline_s, engine)
         case SetGrantAndPriority(command, grant_mb, priority):
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -286,6 +286,7 @@
                 command.final, command.is_over = type(result), True
             elif isinstance(result, Dispatch):
                 self.check_dispatch(result.command, command, result.engine)
+                self.check_send_until(command, result)
                 number = len(command.attempts_sent_at)
                 command.open_attempt = SentAttempt(result.engine, self.now, number)
                 command.attempt_ends_at = min(result.deadline_us, command.timeout_at)
@@ -332,6 +333,12 @@
         if command.attempts_sent_at:
             self.check_retry_budget()
 
+    def check_send_until(self, command: SubmittedCommand, dispatch: Dispatch) -> None:
+        """Check that what allows a dispatch still holds when its fetch is written at the last moment."""
+        assert self.now < dispatch.send_until_us <= dispatch.deadline_us
+        if command.first_run and command.profile.idempotency == Idempotency.KEYED:
+            assert dispatch.send_until_us < command.first_run.sent_at + command.profile.dedup_window_us
+
     def check_deduplication(self, command: SubmittedCommand, listed: ListedEngine) -> None:
         """Check that a retry of a command that may have run stays in its deduplication window and scope."""
         command_profile = command.profile
--- a/tests/races.py
+++ b/tests/races.py
@@ -51,6 +51,10 @@
         self.address = "{}:{}".format(*self.sock.getsockname())
         self.backlog_filler = socket.create_connection(self.sock.getsockname())
 
+    def fill(self) -> None:
+        """Fill the backlog again, after accept()."""
+        self.backlog_filler = socket.create_connection(self.sock.getsockname())
+
     def accept(self) -> socket.socket:
         """Make room in the backlog and accept the next connection."""
         self.backlog_filler.close()
--- a/tests/test_write_buffer.py
+++ b/tests/test_write_buffer.py
@@ -8,7 +8,7 @@
 from gullhold.net.connection import Connection
 from gullhold.net.counters import Counters
 from gullhold.net.flusher import Flusher
-from gullhold.net.write_buffer import WriteBuffer
+from gullhold.net.write_buffer import Rejection, SendConditions, WriteBuffer
 
 
 def running_flusher():
@@ -66,3 +66,36 @@
     assert ours.fileno() < 0
     assert connection.fileno() < 0
     theirs.close()
+
+
+def test_conditions_are_checked_again_when_a_message_that_had_to_wait_is_written():
+    """Guards against checks at the decision alone: the peer may read what is before a message much later."""
+    ours, theirs = tcp_pair()
+    write_buffer = WriteBuffer(50_000_000, Counters(), running_flusher())
+    allowed, discarded = {b"first", b"second"}, []
+
+    def conditions(message):
+        return SendConditions(
+            is_allowed=lambda: message in allowed,
+            reencode=lambda: message + b" as of now",
+            discarded=lambda: discarded.append(message),
+        )
+
+    write_buffer.attach(Connection(ours))
+    assert write_buffer.put(b"never", conditions(b"never")) == Rejection.NOT_ALLOWED
+    large = b"x" * 9_000_000  # more than the socket accepts: the flusher writes the rest
+    write_buffer.put(large)
+    ends = [write_buffer.put(message, conditions(message)) for message in (b"first", b"second")]
+    last_end = write_buffer.put(b"third")
+    allowed.remove(b"first")
+    assert not discarded
+    write_buffer.finish()
+    received = bytearray()
+    while data := theirs.recv(1 << 20):
+        received += data
+    assert bytes(received[len(large) :]) == b"second as of nowthird"
+    assert discarded == [b"first"]
+    assert write_buffer.size == 0
+    assert write_buffer.is_written(last_end)
+    assert ends[0] < ends[1] < last_end
+    theirs.close()
