A good answer whose cost overflows ends its connection, and drops no other reply

Cause: the cost was checked to be finite in ms and then converted to us, where it becomes infinite; int() raises OverflowError, which EngineReplies does not take for a malformed reply. One message must not cost others theirs.

Fix: the value that is used is the one that is checked. The new case of the test logs an internal fault before.

--- a/gullhold/net/engine_replies.py
+++ b/gullhold/net/engine_replies.py
@@ -159,15 +159,15 @@
 
     def _resources(self, fields: dict[bytes, bytes]) -> ResourceUse:
         """Return the resources that an attempt used and the engine's load report; absent values are zero."""
-        work_ms = float(fields.get(b"cost", 0))
+        work_us = float(fields.get(b"cost", 0)) * US_PER_MS
         memory_mb = float(fields.get(b"need", 0))
         load: list[float] = []
         if b"load" in fields:
             loads = dict(pair.partition(b":")[::2] for pair in fields[b"load"].split(b";"))
             load = [float(loads.get(name, 0)) for name in self.report_fields]
-        if not all(map(isfinite, (work_ms, memory_mb, *load))):
-            raise ProtocolError(f"not all values are finite: cost {work_ms}, memory {memory_mb}, load {load}")
-        return ResourceUse(int(work_ms * US_PER_MS), memory_mb, tuple(load))
+        if not all(map(isfinite, (work_us, memory_mb, *load))):
+            raise ProtocolError(f"not all values are finite: cost {work_us}, memory {memory_mb}, load {load}")
+        return ResourceUse(int(work_us), memory_mb, tuple(load))
 
 
 def check_page(rows: bytes) -> None:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -34,6 +34,7 @@
         ("read", reply_with(b"chunk"), b"a\tb\tc\n"),
         ("read", reply_with(b"200", b"pages=x"), b"a\tb\tc\n"),
         ("read", serve_pages(b"x\n", fields=b"cost=inf"), b"a\tb\tc\n"),
+        ("read", serve_pages(fields=b"cost=1e306"), b"a\tb\tc\n"),
         ("once", serve_pages(b"x\n", fields=b"need=much"), "fault"),
         ("read", answer_nothing, b"a\tb\tc\n"),
         ("once", answer_nothing, "fault"),
