A long statement that would wait too long to be read is shed

Cause: a request with a long statement waited for those before it without a bound in time. Sixty of the longest, each of which takes 0.1 to 0.18 s, would have it answered after its client timeout.

Fix: it waits for a tenth of the shortest client timeout at most, as an event of the core's queue does, and is shed then (`rejected_overload`).

--- a/gullhold/net/client_calls.py
+++ b/gullhold/net/client_calls.py
@@ -203,10 +203,13 @@
             self._reject(call.sequence_id, "rejected_statement_memory")
             return None
         try:
-            with self.core.reading_turns.beside_others():
-                return self._read_request(call.sequence_id, fields, statement)
+            with self.core.reading_turns.beside_others(self.core.overload.longest_wait_s()) as may_read:
+                if may_read:
+                    return self._read_request(call.sequence_id, fields, statement)
         finally:
             memory.release(waiting_bytes)
+        self._reject(call.sequence_id, "rejected_overload")
+        return None
 
     def _post_to_core(self, sequence_id: int, request: Request, received_at_us: int) -> None:
         if not self.core.overload.admits(request.timeout_us):
--- a/gullhold/net/overload.py
+++ b/gullhold/net/overload.py
@@ -7,6 +7,8 @@
 
 from typing import TYPE_CHECKING
 
+from gullhold.net import US_PER_S
+
 if TYPE_CHECKING:
     from gullhold.interface import Agreement
     from gullhold.net.event_loop import EventLoop
@@ -39,6 +41,10 @@
         counted_us = min(interval_us, MAX_COUNTED_INTERVAL_US)
         self._event_us += (counted_us - self._event_us) / AVERAGING_EVENTS
 
+    def longest_wait_s(self) -> float:
+        """Return for how long a request may wait before the core gets it, in s."""
+        return self._shortest_timeout_us / MAX_AGE_DIVISOR / US_PER_S
+
     def is_overloaded(self) -> bool:
         """Whether a request with the shortest client timeout of all profiles would wait too long."""
         return not self.admits(self._shortest_timeout_us)
--- a/gullhold/net/reading_turns.py
+++ b/gullhold/net/reading_turns.py
@@ -25,11 +25,16 @@
         self._turn.release()
 
     @contextmanager
-    def beside_others(self) -> Iterator[None]:
-        """In a turn: let others have theirs while a long statement is read, then wait for one again."""
+    def beside_others(self, wait_s: float) -> Iterator[bool]:
+        """In a turn: let others have theirs while a long statement is read, then wait for one again.
+
+        Yields whether it may be read: False if earlier ones have taken longer than wait_s.
+        """
         self._turn.release()
+        may_read = self._long_statement.acquire(timeout=wait_s)
         try:
-            with self._long_statement:
-                yield
+            yield may_read
         finally:
+            if may_read:
+                self._long_statement.release()
             self._turn.acquire()
