--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""A client takes its requests back at once, in the pause after a bad one: are they sent on all the same?"""
+"""A client takes its requests back in the pause after a bad one: they must not be sent on later."""
 
 import asyncio
 import sys
@@ -15,6 +15,7 @@
 
 
 async def play(record: st.Record) -> int:
+    """Play the case; return its exit status."""
     fetched: dict[bytes, float] = {}
     engines = [
         st.Engine(
--- a/review/stand_ins_2.py
+++ b/review/stand_ins_2.py
@@ -541,7 +541,7 @@
             client.close()
 
     def stop(self) -> None:
-        """End the process."""
+        """End the process, and remove the folder of its files."""
         if self.process and self.process.poll() is None:
             self.process.send_signal(signal.SIGTERM)
             try:
@@ -549,6 +549,7 @@
             except subprocess.TimeoutExpired:
                 self.process.kill()
                 self.process.wait()
+        self.folder.cleanup()
 
     def log(self) -> list[str]:
         """Return the lines of its log."""
