--- a/gullhold/decisions/command_lifecycle.py
+++ b/gullhold/decisions/command_lifecycle.py
@@ -92,7 +92,7 @@
         """Release the admission shares of an ended command, and queue the command that it blocked."""
         for share in command.admission_shares:
             share.release(1)
-        self._retries.record_ended(command)
+        self._retries.record_ended(command, self._call.now)
         del self.commands[command.id]
         unblocked = self._key_order.remove(command)
         if unblocked:
--- a/gullhold/decisions/dispatcher.py
+++ b/gullhold/decisions/dispatcher.py
@@ -8,7 +8,7 @@
 from gullhold.decisions.components import Components
 from gullhold.decisions.decision_call import DecisionCall
 from gullhold.decisions.engine import Engine
-from gullhold.decisions.fair_queue import QueueEntry
+from gullhold.decisions.fair_queue import CommandHeap
 from gullhold.interface import Agreement, CancelAttempt, Dispatch, Result, SetGrantAndPriority, StartTimer
 
 
@@ -72,7 +72,7 @@
         self._queue.drop_if_empty(tenant)
         return is_dispatched
 
-    def _dispatch_first(self, heap: list[QueueEntry]) -> bool:
+    def _dispatch_first(self, heap: CommandHeap) -> bool:
         """Dispatch the first command of a queue, if an engine may take it; return whether one did."""
         command = self._queue.first(heap)
         if command is None or not self._retries.may_start(command, self._call.now):
@@ -97,7 +97,7 @@
             self._slow_start.record_dispatch(engine, command.work, now)
         run_us = self._estimates.run_us(command)
         if command.profile.loads_dataset:
-            self._placement.locks.lock(engine, command.dataset, int(now + run_us))
+            self._placement.locks.lock(engine, command.dataset, int(now + run_us), now)
         self._retries.record_attempt(command, now)
         command.begin_attempt(engine, now)
         self._lifecycle.change_state(command, CommandState.DISPATCHED)
--- a/gullhold/decisions/fair_queue.py
+++ b/gullhold/decisions/fair_queue.py
@@ -8,10 +8,10 @@
 """
 
 from collections.abc import Sequence
-from heapq import heappop, heappush
 
 from gullhold.decisions.command import Command, CommandState
 from gullhold.decisions.moving_average import SMOOTHING_FACTOR, relative_deviation
+from gullhold.decisions.pruned_heap import PrunedHeap
 from gullhold.interface import Agreement
 
 # The quota factor: number of commands in a round of the tenant with the lowest weight.
@@ -26,7 +26,14 @@
 
 # Ordered as heapq compares tuples: (negative benefit per work, order of arrival, entry number, command).
 QueueEntry = tuple[float, int, int, Command]
-TenantQueues = tuple[list[QueueEntry], list[QueueEntry]]  # heaps of short and of long commands
+CommandHeap = PrunedHeap[QueueEntry]
+TenantQueues = tuple[CommandHeap, CommandHeap]  # of short and of long commands
+
+
+def _is_current(row: QueueEntry) -> bool:
+    """Whether an entry is the newest one of its command, which still waits."""
+    _, _, entry, command = row
+    return command.state == CommandState.QUEUED and command.queue_entry == entry
 
 
 class FairQueue:
@@ -59,9 +66,11 @@
         """Queue a command; an entry that the queue already holds for it becomes invalid."""
         command.queue_entry += 1
         rank = -benefit / max(command.work, 1.0)
-        queues = self.by_tenant.setdefault(command.tenant, ([], []))
+        queues = self.by_tenant.get(command.tenant)
+        if queues is None:
+            queues = self.by_tenant[command.tenant] = (PrunedHeap(_is_current), PrunedHeap(_is_current))
         heap = queues[0] if command.is_short else queues[1]
-        heappush(heap, (rank, command.order, command.queue_entry, command))
+        heap.push((rank, command.order, command.queue_entry, command))
 
     def tenants_in_turn(self) -> list[int]:
         """Return the tenants with queued commands, in turn; those without quota left come last.
@@ -76,22 +85,18 @@
             self.by_tenant, key=lambda tenant: (self._quota(tenant) < 1, (tenant - next_tenant) % tenants)
         )
 
-    def queues_of(self, tenant: int) -> list[list[QueueEntry]]:
+    def queues_of(self, tenant: int) -> list[CommandHeap]:
         """Return a tenant's two queues, first the one whose first command has the higher benefit per work."""
-        return sorted(self.by_tenant[tenant], key=lambda heap: heap[0][0] if heap else 0.0)
+        return sorted(self.by_tenant[tenant], key=lambda heap: heap.head[0] if heap else 0.0)
 
-    def first(self, heap: list[QueueEntry]) -> Command | None:
+    def first(self, heap: CommandHeap) -> Command | None:
         """Drop invalid entries at the head of a queue, and return its first command."""
-        while heap:
-            _, _, entry, command = heap[0]
-            if command.state == CommandState.QUEUED and command.queue_entry == entry:
-                return command
-            heappop(heap)
-        return None
-
-    def pop(self, heap: list[QueueEntry]) -> None:
+        heap.drop_invalid_head()
+        return heap.head[3] if heap else None
+
+    def pop(self, heap: CommandHeap) -> None:
         """Remove the first command of a queue."""
-        heappop(heap)
+        heap.pop()
 
     def drop_if_empty(self, tenant: int) -> None:
         """Drop a tenant's queues if both are empty."""
--- a/gullhold/decisions/gateway.py
+++ b/gullhold/decisions/gateway.py
@@ -179,7 +179,7 @@
             command.progress = max(value, MIN_PROGRESS)
         elif is_newest and kind == StatusKind.WAITING and value >= MIN_LOAD_WAIT_CODE and command.engine:
             # Another gateway may have sent the load, in which case this note is the only sign of it.
-            self.components.placement.locks.lock(command.engine, command.dataset, now + LOAD_LOCK_US)
+            self.components.placement.locks.lock(command.engine, command.dataset, now + LOAD_LOCK_US, now)
         return []
 
     def attempt_ended(
--- a/gullhold/decisions/key_order.py
+++ b/gullhold/decisions/key_order.py
@@ -6,6 +6,7 @@
 from collections import deque
 
 from gullhold.decisions.command import Command, CommandState
+from gullhold.decisions.expiries import Expiries
 from gullhold.interface import Outcome
 
 # Outcomes after which the engine may still run the attempt.
@@ -18,7 +19,7 @@
     def __init__(self, settle_us: int) -> None:
         self._settle_us = settle_us
         self.by_key: dict[int, deque[Command]] = {}
-        self._settles_until: dict[int, int] = {}
+        self._settling: Expiries[int] = Expiries()
 
     def add(self, command: Command) -> bool:
         """Add a command; return whether it may be queued: it is the first of its key or has no such key."""
@@ -42,12 +43,12 @@
     def record_outcome(self, command: Command, outcome: Outcome, now: int) -> None:
         """Record how an attempt ended; if it may still run, its key settles."""
         if command.profile.ordered and command.key and outcome in UNKNOWN_END:
-            self._settles_until[command.key] = now + self._settle_us
+            self._settling.set(command.key, now + self._settle_us, now)
 
     def is_settling(self, command: Command, now: int) -> bool:
         """Whether an earlier attempt for the command's key may still run."""
-        return command.profile.ordered and now < self._settles_until.get(command.key, 0)
+        return command.profile.ordered and self._settling.holds(command.key, now)
 
     def forget_settled(self, now: int) -> None:
         """Drop the keys that have settled."""
-        self._settles_until = {key: until for key, until in self._settles_until.items() if until > now}
+        self._settling.drop_expired(now)
--- a/gullhold/decisions/retry_policy.py
+++ b/gullhold/decisions/retry_policy.py
@@ -73,9 +73,10 @@
         credit = self._cancel_credit[command.profile_index] + CANCEL_CREDIT_PER_ATTEMPT
         self._cancel_credit[command.profile_index] = min(MAX_CANCEL_CREDIT, credit)
 
-    def record_ended(self, command: Command) -> None:
+    def record_ended(self, command: Command, now: int) -> None:
         """Record that a command has ended. It widens the retry budget only now, as its outcome is known."""
         insort(self._arrivals, command.admitted_at)
+        self._drop_old_times(now)  # here too, as none may start for long, while commands come and are shed
 
     def has_cancel_credit(self, command: Command) -> bool:
         """Whether a slow attempt of the command's profile may be cancelled."""
--- a/gullhold/net/attempts.py
+++ b/gullhold/net/attempts.py
@@ -1,12 +1,13 @@
 """Attempts of requests on engines: how they start, end, and are abandoned or cancelled with confirmation."""
 
+from collections.abc import Callable
 from math import ceil
 from typing import TYPE_CHECKING
 
 from gullhold.interface import NEVER_RAN, Dispatch, Outcome
 from gullhold.net import ceil_to_ms, engine_protocol, resp
 from gullhold.net.connection_ends import ConnectionEnd
-from gullhold.net.engine_connection import NO_RESOURCES, Attempt, EngineConnection
+from gullhold.net.engine_connection import NO_RESOURCES, Attempt, Confirmation, EngineConnection
 from gullhold.net.eventlog import EventKind, LoggedEvent
 from gullhold.net.write_buffer import Rejection, SendConditions
 
@@ -60,7 +61,7 @@
             # No descriptor or thread was left, which is not the engine's fault. Reported only after the
             # connect timeout, so that the same request is not dispatched again and again without a pause.
             reported_at_us = min(core.now + self.agreement.connect_timeout_us, dispatch.deadline_us)
-            core.call_later(reported_at_us, self.end, attempt, Outcome.NOT_STARTED)
+            self.call_later(attempt, reported_at_us, self.end, attempt, Outcome.NOT_STARTED)
             return
         attempt.deadline_us = dispatch.deadline_us
         attempt.send_until_us = dispatch.send_until_us
@@ -79,6 +80,8 @@
             del connection.open_attempts[pending.request.transaction_id]
             connection.used_at = core.now
         self.page_bytes -= attempt.result_bytes
+        for timer in attempt.timers:
+            core.cancel_timer(timer)
         attempt.release()
         pending.last_outcome = OUTCOME_TEXTS[outcome]
         self.counters.add(f"attempts_ended_{pending.last_outcome}")
@@ -131,11 +134,18 @@
 
         tag: identifies the confirmation; an unknown one is ignored.
         """
-        attempt = connection.confirmations.pop(tag, None)
+        confirmation = connection.confirmations.pop(tag, None)
+        if confirmation is None:
+            return
+        connection.abandoned_ids.discard(confirmation.transaction_id)
+        attempt = confirmation.attempt
         if attempt and attempt.outcome_once_confirmed is not None:
-            connection.abandoned_ids.discard(attempt.pending.request.transaction_id)
             self.end(attempt, attempt.outcome_once_confirmed)
 
+    def call_later(self, attempt: Attempt, due_at_us: int, call: Callable[..., None], *args: object) -> None:
+        """Make this call at a time, in us of the core's clock, unless the attempt has ended by then."""
+        attempt.timers.append(self.core.call_later(due_at_us, call, *args))
+
     def _report_never_started(self, attempt: Attempt) -> None:
         pending = attempt.pending
         self.core.defer(
@@ -177,9 +187,9 @@
             self._handle_rejected_write(attempt, connection)
             return
         self.counters.add("attempts_sent")
-        core.call_later(attempt.deadline_us, self._deadline_passed, attempt)
+        self.call_later(attempt, attempt.deadline_us, self._deadline_passed, attempt)
         if attempt.send_until_us < attempt.deadline_us:
-            core.call_later(attempt.send_until_us, self._take_back, attempt)
+            self.call_later(attempt, attempt.send_until_us, self._take_back, attempt)
 
     def _discarded(self, attempt: Attempt) -> None:
         """From the thread that writes: an attempt that had to wait was not sent."""
@@ -231,7 +241,8 @@
         self.last_confirmation += 1
         tag = b"~%d" % self.last_confirmation
         attempt.outcome_once_confirmed = outcome
-        connection.confirmations[tag] = attempt
+        attempt.confirmation = Confirmation(attempt)
+        connection.confirmations[tag] = attempt.confirmation
         self.core.pool.send_control(connection, engine_protocol.ABORT, attempt.pending.request.transaction_id)
         self.core.pool.send_control(connection, engine_protocol.ALIVE, tag)
 
--- a/gullhold/net/decision_results.py
+++ b/gullhold/net/decision_results.py
@@ -22,6 +22,7 @@
 if TYPE_CHECKING:
     from gullhold.net.core import Core
     from gullhold.net.pending_requests import PendingRequest
+    from gullhold.net.timer_queue import Timer
 
 
 class Decisions:
@@ -29,6 +30,7 @@
 
     def __init__(self, core: "Core") -> None:
         self.core = core
+        self._timer: Timer | None = None  # of the module, which waits for its latest one alone
 
     def call(
         self, pending: "PendingRequest | None", method: Callable[..., list[Result]], *args: object
@@ -71,8 +73,11 @@
                 raise TypeError(f"unknown result of the decision module: {result!r}")
 
     def _start_timer(self, timer: StartTimer) -> None:
+        """Set the module's timer in place of the one before, for whose token it no longer waits."""
         core = self.core
-        core.call_later(core.now + timer.delay_us, self.call, None, core.gateway.timer_fired, timer.token)
+        core.cancel_timer(self._timer)
+        due_at_us = core.now + timer.delay_us
+        self._timer = core.call_later(due_at_us, self.call, None, core.gateway.timer_fired, timer.token)
 
     def _set_terms(self, terms: SetGrantAndPriority) -> None:
         pending = self.core.requests.by_number.get(terms.command)
--- a/gullhold/net/engine_connection.py
+++ b/gullhold/net/engine_connection.py
@@ -15,6 +15,7 @@
 if TYPE_CHECKING:
     from gullhold.net.core import Core
     from gullhold.net.pending_requests import PendingRequest
+    from gullhold.net.timer_queue import Timer
 
 MAX_REPLY_BYTES = 16_384  # a reply with a page of 6,000 bytes, the largest, has far less beside it
 MAX_UNHANDLED_REPLY_BYTES = 32_768  # memory of the replies on one connection that wait for the core
@@ -51,6 +52,7 @@
     """One attempt of a request, from its fetch to the last page of its result."""
 
     __slots__ = (
+        "confirmation",
         "connection",
         "deadline_us",
         "end_offset",
@@ -67,6 +69,7 @@
         "result_bytes",
         "send_until_us",
         "sent_at",
+        "timers",
     )
 
     def __init__(self, pending: "PendingRequest", number: int, now: int) -> None:
@@ -86,11 +89,27 @@
         self.result_bytes = 0
         self.outcome_once_confirmed: Outcome | None = None  # set while the abort is to be confirmed
         self.resources = NO_RESOURCES
+        self.timers: list[Timer] = []  # all that were set for it, cancelled when it ends
+        self.confirmation: Confirmation | None = None  # set while the abort is to be confirmed
 
     def release(self) -> None:
-        """Free the message and the pages of an attempt that has ended."""
+        """Free what an attempt that has ended kept: its message, its pages, and what refers to it."""
         self.message = b""
         self.pages = []
+        self.timers = []
+        if self.confirmation:
+            self.confirmation.attempt = None
+            self.confirmation = None
+
+
+class Confirmation:
+    """A confirmation that an engine owes, that it has received an abort. attempt: None once it has ended."""
+
+    __slots__ = ("attempt", "transaction_id")
+
+    def __init__(self, attempt: Attempt) -> None:
+        self.attempt: Attempt | None = attempt
+        self.transaction_id = attempt.pending.request.transaction_id
 
 
 class EngineConnection:
@@ -116,7 +135,7 @@
         self.write_buffer = WriteBuffer(max_buffered_bytes, core.counters, core.flusher)
         self.open_attempts: dict[bytes, Attempt] = {}  # by transaction id
         self.abandoned_ids: set[bytes] = set()  # of abandoned attempts, to which late replies may arrive
-        self.confirmations: dict[bytes, Attempt] = {}  # attempts whose abort is to be confirmed, by tag
+        self.confirmations: dict[bytes, Confirmation] = {}  # that the engine owes, by tag
         self.is_ended = False
         self.is_retired = False  # no further attempts are sent on it
         self.last_reply_at = now
--- a/gullhold/net/engine_pool.py
+++ b/gullhold/net/engine_pool.py
@@ -180,7 +180,8 @@
             outcome = self._outcome(connection, attempt, end)
             if delay_us > 0:
                 del connection.open_attempts[attempt.pending.request.transaction_id]
-                self.core.call_later(self.core.now + delay_us, self.core.attempts.end, attempt, outcome)
+                attempts = self.core.attempts
+                attempts.call_later(attempt, self.core.now + delay_us, attempts.end, attempt, outcome)
             else:
                 self.core.attempts.end(attempt, outcome)
 
--- a/gullhold/net/event_loop.py
+++ b/gullhold/net/event_loop.py
@@ -6,13 +6,12 @@
 import time
 from collections import deque
 from collections.abc import Callable
-from heapq import heappop, heappush
-from typing import NamedTuple
 
 from loguru import logger
 
 from gullhold.net.counters import Counters
 from gullhold.net.event_queue import EventQueue, PostedEvent
+from gullhold.net.timer_queue import Timer, TimerQueue
 
 # Lateness of a step that counts as a stall: far more than a step takes, a fifth of the usual drain grace.
 STALL_US = 100_000
@@ -25,15 +24,6 @@
 """A function and the arguments to call it with."""
 
 
-class Timer(NamedTuple):
-    """A call that is due at a time; the serial number keeps timers with the same due time in order."""
-
-    due_at_us: int
-    serial: int
-    call: Callable[..., None]
-    args: tuple[object, ...]
-
-
 class EventLoop:
     """Runs events, deferred calls and timers, one at a time.
 
@@ -46,8 +36,7 @@
         self.queue = EventQueue()
         self.urgent: deque[BoundCall] = deque()
         self.deferred: deque[BoundCall] = deque()
-        self.timers: list[Timer] = []
-        self.timer_serial = 0
+        self.timers = TimerQueue()
         self.now = self.clock()
         self.stopped = False
         # Whether the discovery thread has received watch events that it has not posted yet.
@@ -83,10 +72,16 @@
         """Make this call after the current event and before the next one."""
         self.deferred.append((call, args))
 
-    def call_later(self, due_at_us: int, call: Callable[..., None], *args: object) -> None:
-        """Make this call at a time, in us of the loop's clock."""
-        self.timer_serial += 1
-        heappush(self.timers, Timer(due_at_us, self.timer_serial, call, args))
+    def call_later(self, due_at_us: int, call: Callable[..., None], *args: object) -> Timer:
+        """Make this call at a time, in us of the loop's clock; return its timer, for cancel_timer()."""
+        timer = self.timers.add(due_at_us, call, args)
+        self.counters.peak("pending_timers", len(self.timers))
+        return timer
+
+    def cancel_timer(self, timer: Timer | None) -> None:
+        """Prevent a call of call_later() that was not made yet; None or one that was made: does nothing."""
+        if timer is not None:
+            self.timers.cancel(timer)
 
     def run_until_stopped(self) -> None:
         """Run until `stopped` is set. At least one timer must be set at any time."""
@@ -108,10 +103,9 @@
             self.counters.peak("events_queued", len(self.queue))
             self.counters.peak("event_delay_us", self.now - event.posted_at_us)
             self.run_guarded(event.call, *event.args)
-        while self.timers and self.timers[0].due_at_us <= self.now:
-            timer = heappop(self.timers)
-            self.counters.peak("timer_delay_us", self.now - timer.due_at_us)
-            self.run_guarded(timer.call, *timer.args)
+        while due := self.timers.pop_due(self.now):
+            self.counters.peak("timer_delay_us", self.now - due.due_at_us)
+            self.run_guarded(due.call, *due.args)
 
     def next_event(self, wait_us: int = 0) -> PostedEvent | None:
         """Return the next posted event; None if none arrives within this time."""
@@ -119,7 +113,7 @@
 
     def next_timer_at_us(self) -> int:
         """Return when the next timer is due."""
-        return self.timers[0].due_at_us
+        return self.timers.next_due_at_us()
 
     def tick(self) -> None:
         """Update `now`, which never decreases."""
--- a/gullhold/net/pending_requests.py
+++ b/gullhold/net/pending_requests.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from gullhold.net.core import Core
     from gullhold.net.engine_connection import Attempt
+    from gullhold.net.timer_queue import Timer
 
 
 class PeerAddress(NamedTuple):
@@ -71,6 +72,7 @@
         "attempts_started",
         "client",
         "grant_mb",
+        "guard_timer",
         "kept_bytes",
         "last_outcome",
         "number",
@@ -93,6 +95,7 @@
         self.attempt: Attempt | None = None
         self.attempts_started = 0
         self.kept_bytes = request.kept_bytes  # reserved in the statement memory
+        self.guard_timer: Timer | None = None  # at the client timeout, until the request is settled
         self.last_outcome = ""  # outcome of the last attempt, as text for the event log
 
 
@@ -264,7 +267,7 @@
         self.by_number[pending.number] = pending
         self.by_transaction_id[pending.request.transaction_id] = pending
         self.counters.peak("pending_requests", len(self.by_number))
-        self.core.call_later(pending.timeout_at_us, self._check_answered, pending)
+        pending.guard_timer = self.core.call_later(pending.timeout_at_us, self._check_answered, pending)
         self.core.admission.submit(pending)
 
     def _unanswered_request(self, number: int) -> PendingRequest | None:
@@ -320,6 +323,7 @@
         client.settled_count += 1
         client.interrupted.discard(pending.sequence_id)
         pending.client = None
+        self.core.cancel_timer(pending.guard_timer)
         self.settled_at_us = self.core.now
         return client
 
--- a/gullhold/simulation/mutants.py
+++ b/gullhold/simulation/mutants.py
@@ -20,6 +20,7 @@
 from gullhold.net.engine_replies import EngineReplies
 from gullhold.net.event_loop import EventLoop
 from gullhold.net.pending_requests import Client, PendingRequest, PendingRequests
+from gullhold.net.timer_queue import Timer
 from gullhold.net.write_buffer import WriteBuffer
 from gullhold.simulation.checker import Rule
 
@@ -90,10 +91,11 @@
 
 
 def _lose_every_fifth_timer(call_later: Method) -> Method:
-    def mutated(self: EventLoop, due_at_us: int, callback: Method, *args: object) -> None:
+    def mutated(self: EventLoop, due_at_us: int, callback: Method, *args: object) -> Timer:
         self.scheduled_count = getattr(self, "scheduled_count", 0) + 1
         if self.scheduled_count % LOST_TIMER_INTERVAL or callback == self.health.sweep:
-            call_later(self, due_at_us, callback, *args)
+            return call_later(self, due_at_us, callback, *args)
+        return Timer(due_at_us, callback, args)
 
     return mutated
 
