Simulation: a timer that a mutant loses was set and then cancelled

The mutant returned a timer of no queue. Cancelling it made the count of pending timers negative, whose ValueError was taken for malformed bytes of an engine: so the mutant was found for a fault of its own.

--- a/gullhold/simulation/mutants.py
+++ b/gullhold/simulation/mutants.py
@@ -93,9 +93,10 @@
 def _lose_every_fifth_timer(call_later: Method) -> Method:
     def mutated(self: EventLoop, due_at_us: int, callback: Method, *args: object) -> Timer:
         self.scheduled_count = getattr(self, "scheduled_count", 0) + 1
-        if self.scheduled_count % LOST_TIMER_INTERVAL or callback == self.health.sweep:
-            return call_later(self, due_at_us, callback, *args)
-        return Timer(due_at_us, callback, args)
+        timer = call_later(self, due_at_us, callback, *args)
+        if not (self.scheduled_count % LOST_TIMER_INTERVAL or callback == self.health.sweep):
+            self.cancel_timer(timer)
+        return timer
 
     return mutated
 
