--- a/gullhold/net/attempts.py
+++ b/gullhold/net/attempts.py
@@ -7,7 +7,8 @@
 from gullhold.interface import NEVER_RAN, Dispatch, Outcome
 from gullhold.net import ceil_to_ms, engine_protocol, resp
 from gullhold.net.connection_ends import ConnectionEnd
-from gullhold.net.engine_connection import NO_RESOURCES, Attempt, Confirmation, EngineConnection
+from gullhold.net.engine_connection import Attempt, Confirmation, EngineConnection
+from gullhold.net.engine_reply import NO_RESOURCES
 from gullhold.net.eventlog import EventKind, LoggedEvent
 from gullhold.net.write_buffer import Rejection, SendConditions
 
--- a/gullhold/net/engine_connection.py
+++ b/gullhold/net/engine_connection.py
@@ -4,12 +4,20 @@
 import socket
 import time
 from threading import Thread
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 from gullhold.interface import EngineState, Outcome
-from gullhold.net import connection_ends, resp, set_no_delay, set_read_timeout, split_host_port
+from gullhold.net import (
+    connection_ends,
+    engine_reply,
+    resp,
+    set_no_delay,
+    set_read_timeout,
+    split_host_port,
+)
 from gullhold.net.connection import Connection
 from gullhold.net.connection_ends import ConnectionEnd, ProtocolError
+from gullhold.net.engine_reply import NO_RESOURCES
 from gullhold.net.write_buffer import WriteBuffer
 
 if TYPE_CHECKING:
@@ -25,17 +33,6 @@
 RETRIED_ERRNOS = connection_ends.LOCAL_EXHAUSTION_ERRNOS | {errno.ENETUNREACH}
 
 
-class ResourceUse(NamedTuple):
-    """Resources that an attempt used, and the engine's load report: values in the order of the settings."""
-
-    work_us: int
-    memory_mb: float
-    load: tuple[float, ...]
-
-
-NO_RESOURCES = ResourceUse(0, 0, ())
-
-
 class EngineEndpoint:
     """An engine: its id, address and state, and the connections to it."""
 
@@ -130,7 +127,7 @@
     ) -> None:
         self.endpoint = endpoint
         self.core = core
-        self.decoder = resp.Decoder(max_message_bytes, MAX_REPLY_BYTES)
+        self.decoder = resp.Decoder(max_message_bytes, MAX_REPLY_BYTES, engine_reply.STRINGS)
         self.handled_bytes = 0
         self.write_buffer = WriteBuffer(max_buffered_bytes, core.counters, core.flusher)
         self.open_attempts: dict[bytes, Attempt] = {}  # by transaction id
--- a/gullhold/net/resp.py
+++ b/gullhold/net/resp.py
@@ -18,13 +18,16 @@
     """Splits the bytes of a connection into arrays of byte strings; the caller puts the bytes into `buffer`.
 
     max_bytes: upper limit of the bytes that are buffered at once. max_array_bytes: upper limit of one array
-    with all its strings, which are kept until the array is complete; by default max_bytes. decoded_bytes:
-    total memory of the arrays that were yielded.
+    with all its strings, which are kept until the array is complete; by default max_bytes. max_strings: upper
+    limit of its strings. decoded_bytes: total memory of the arrays that were yielded.
     """
 
-    def __init__(self, max_bytes: int, max_array_bytes: int | None = None) -> None:
+    def __init__(
+        self, max_bytes: int, max_array_bytes: int | None = None, max_strings: int = MAX_STRINGS_PER_ARRAY
+    ) -> None:
         self.buffer = Buffer(max_bytes)
         self.max_array_bytes = max_bytes if max_array_bytes is None else max_array_bytes
+        self.max_strings = max_strings
         self.decoded_bytes = 0
         self.array_bytes = 0  # bytes of the current array that are consumed, with the lengths of its strings
         self.strings: list[bytes] = []  # read strings of the current array
@@ -60,8 +63,8 @@
             return False
         size, header_size = header
         self.buffer.consume(header_size)
-        if not 0 < size <= MAX_STRINGS_PER_ARRAY:
-            raise ProtocolError(f"array of {size} strings: not between 1 and {MAX_STRINGS_PER_ARRAY}")
+        if not 0 < size <= self.max_strings:
+            raise ProtocolError(f"array of {size} strings: not between 1 and {self.max_strings}")
         self.strings = []
         self.missing_count = size
         self.array_bytes = header_size
@@ -119,10 +122,21 @@
 
 
 def decode_fields(encoded: bytes) -> dict[bytes, bytes]:
-    """Decode a field list (name=value,name=value); `-` or nothing is the empty list."""
+    """Decode a field list (name=value,name=value); `-` or nothing is the empty list. Raises ProtocolError."""
     if encoded in (b"-", b""):
         return {}
-    return dict(pair.partition(b"=")[::2] for pair in encoded.split(b","))
+    return decode_pairs(encoded.split(b","), b"=")
+
+
+def decode_pairs(pairs: Iterable[bytes], separator: bytes) -> dict[bytes, bytes]:
+    """Return names with their values. Raises ProtocolError for a pair without separator, or a name twice."""
+    decoded: dict[bytes, bytes] = {}
+    for pair in pairs:
+        name, found, value = pair.partition(separator)
+        if not found or name in decoded:
+            raise ProtocolError(f"not a name and a value, or the name occurs twice: {pair[:40]!r}")
+        decoded[name] = value
+    return decoded
 
 
 def encode_fields(pairs: Iterable[tuple[bytes, bytes]]) -> bytes:
