--- a/gullhold/net/assembly.py
+++ b/gullhold/net/assembly.py
@@ -88,7 +88,6 @@
         configuration.discovery_address,
         configuration.last_event_index,
         core,
-        max_message_bytes,
         configuration.engine_ids,
     )
     core.discovery_lags = discovery_client.has_unapplied_events
--- a/gullhold/net/discovery.py
+++ b/gullhold/net/discovery.py
@@ -10,12 +10,12 @@
 
 from loguru import logger
 
-from gullhold.net import US_PER_MS, US_PER_S, connection_ends, split_host_port
+from gullhold.net import US_PER_MS, US_PER_S, connection_ends, event_stream, split_host_port
 from gullhold.net.connection import Connection
-from gullhold.net.connection_ends import ConnectionEnd
+from gullhold.net.connection_ends import ConnectionEnd, ProtocolError
 from gullhold.net.engine_ids import EngineIds
-from gullhold.net.event_stream import EventStream
 from gullhold.net.list_change import ListChangeBatch, parse_event
+from gullhold.net.list_rebuild import ListRebuild
 
 if TYPE_CHECKING:  # the core imports this module
     from gullhold.net.core import Core
@@ -39,8 +39,10 @@
 class DiscoveryClient:
     """Follows the event stream while the process runs, and passes changes of the endpoint list to the core.
 
-    address: HOST:PORT, None: the list never changes; last_index: index of the last event that is known;
-    max_line_bytes: the longest line that is accepted.
+    address: HOST:PORT, None: the list never changes; last_index: index of the last event that is known.
+
+    An event that can't be read is asked for again. If it then can't be read either, the list is rebuilt from
+    all events that can be, and the stream goes on behind it: otherwise no later event would ever be applied.
 
     on_stream_end is called from this thread whenever the stream has ended. may_call returns whether the
     service may be called now: a fleet can have a budget of such calls.
@@ -51,7 +53,6 @@
         address: str | None,
         last_index: int,
         core: "Core",
-        max_line_bytes: int,
         engine_ids: EngineIds,
     ) -> None:
         self.engine_ids = engine_ids
@@ -59,12 +60,13 @@
         self.may_call: Callable[[], bool] = lambda: True
         self._last_index = last_index
         self._core = core
-        self._max_line_bytes = max_line_bytes
         self._address = split_host_port(address) if address else None
         self._connection: Connection | None = None
         self._address_changed = Event()
         self._last_applied_s = float("-inf")  # monotonic time of the last call to the core
         self._is_receiving = False  # bytes are being read whose changes were not passed to the core yet
+        self._malformed_after: int | None = None  # last known event when the stream was last malformed
+        self._must_rebuild = False  # the next event can't be read
 
     def change_address(self, address: str) -> None:
         """Follow the stream at this HOST:PORT from now on, from the last event. Thread-safe."""
@@ -127,6 +129,10 @@
             return self._follow(address, connect_timeout_s), ""
         except TimeoutError:
             return ConnectionEnd.SILENT, ""
+        except ProtocolError as error:
+            self._must_rebuild = self._malformed_after == self._last_index
+            self._malformed_after = self._last_index
+            return ConnectionEnd.MALFORMED, str(error)
         except Exception as error:  # noqa: BLE001  the known list stays valid, and run() reconnects
             return connection_ends.classify_exception(error, connecting=True)
 
@@ -135,20 +141,27 @@
         with closing(Connection(sock)) as connection:
             self._connection = connection
             try:
-                sock.sendall(b"follow %d\n" % self._last_index)
-                stream = EventStream(self._last_index, self._max_line_bytes)
+                rebuild = ListRebuild() if self._must_rebuild else None
+                stream = event_stream.EventStream(
+                    0 if rebuild else self._last_index, event_stream.MAX_EVENT_BYTES, rebuild is not None
+                )
+                sock.sendall(b"follow %d\n" % stream.last_index)
                 # A service that has new events sends them at once: if none comes, the known list is current.
                 if not is_readable_within(sock, FIRST_EVENT_TIMEOUT_US):
                     self._core.list_received.set()
                 while address == self._address and self._receive(stream, sock):
-                    self._apply_events(stream)
+                    if rebuild:
+                        self._rebuild_list(rebuild, stream)
+                        rebuild = None if stream.has_caught_up else rebuild
+                    else:
+                        self._apply_events(stream)
                     self._core.list_received.set()
                 return ConnectionEnd.CLOSED_BY_PEER if address == self._address else ConnectionEnd.RETIRED
             finally:
                 self._is_receiving = False
                 self._connection = None
 
-    def _receive(self, stream: EventStream, sock: socket.socket) -> int:
+    def _receive(self, stream: event_stream.EventStream, sock: socket.socket) -> int:
         """Read some bytes of the stream; return how many, 0 at its end. Raises TimeoutError."""
         self._is_receiving = False
         # When thousands of events arrive within seconds, a call for each would cost more than its changes do.
@@ -158,9 +171,35 @@
             raise TimeoutError
         # Set before the read, so that has_unapplied_events() sees the bytes in the socket or by this flag.
         self._is_receiving = True
-        return stream.buffer.receive(sock)
+        return stream.receive(sock)
+
+    def _rebuild_list(self, rebuild: ListRebuild, stream: event_stream.EventStream) -> None:
+        """Add the events that have arrived to the list; pass it to the core once it is the current one."""
+        unreadable = stream.unreadable
+        for event in stream.events():
+            try:
+                rebuild.add(parse_event(event, self._core.agreement, self.engine_ids, unreadable))
+            except ProtocolError as error:
+                unreadable.append(str(error))
+        if not stream.has_caught_up:
+            return
+        self._core.list_changed(*rebuild.result(), rebuild.event_count)
+        self._core.counters.add("discovery_lists_rebuilt")
+        self._core.counters.add("discovery_events_unreadable", len(unreadable))
+        logger.error(
+            "endpoint list rebuilt without what could not be read"
+            " after_event={} up_to_event={} unreadable={} first={!r}",
+            self._last_index,
+            stream.last_index,
+            len(unreadable),
+            unreadable[0] if unreadable else "",
+        )
+        self._last_index = stream.last_index
+        self._last_applied_s = time.monotonic()
+        self._must_rebuild = False
+        stream.is_lenient = False
 
-    def _apply_events(self, stream: EventStream) -> None:
+    def _apply_events(self, stream: event_stream.EventStream) -> None:
         """Pass the events that have arrived to the core, as far as possible in one call."""
         batch = ListChangeBatch()
         try:
--- a/gullhold/net/list_change.py
+++ b/gullhold/net/list_change.py
@@ -1,5 +1,6 @@
 """Changes of the endpoint list: parses watch events of the discovery service, and batches them."""
 
+from math import isfinite
 from typing import Any, NamedTuple
 
 from gullhold.agreement import index_of
@@ -8,11 +9,10 @@
 from gullhold.net.connection_ends import ProtocolError
 from gullhold.net.engine_ids import EngineIds
 
-REMOVED_PHASE = "gone"
 STATES_BY_PHASE = {
     "ready": EngineState.READY,
     "draining": EngineState.DRAINING,
-    REMOVED_PHASE: EngineState.REMOVED,
+    "gone": EngineState.REMOVED,
 }
 DEFAULT_WEIGHT = 1.0  # weight of an engine whose entry states none
 
@@ -29,35 +29,63 @@
     is_complete: bool
 
 
-def parse_event(event: dict[str, Any], agreement: Agreement, engine_ids: EngineIds) -> ListChange:
-    """Parse a watch event and free the ids of engines that it removes. Raises ProtocolError."""
+PARSE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, OverflowError)  # of malformed content
+
+
+def parse_event(
+    event: dict[str, Any],
+    agreement: Agreement,
+    engine_ids: EngineIds,
+    unreadable: list[str] | None = None,
+) -> ListChange:
+    """Parse a watch event and free the ids of engines that it removes. Raises ProtocolError.
+
+    unreadable: engines that can't be read are left out, and a reason for each is added to this list; by
+    default they raise ProtocolError.
+    """
     entries: list[EngineEntry] = []
     addresses: dict[int, str] = {}
     try:
         change = event["endpoints"]
         for member in change["members"]:
-            entry = _parse_member(member, agreement, engine_ids)
+            try:
+                entry, address = _parse_member(member, agreement, engine_ids)
+            except PARSE_ERRORS as error:
+                if unreadable is None:
+                    raise
+                unreadable.append(f"engine {str(member)[:100]}: {error!r}")
+                continue
             entries.append(entry)
-            if member.get("host_port"):
-                host, port = split_host_port(member["host_port"])
-                addresses[entry.id] = f"{host}:{port}"
-            if member["phase"] == REMOVED_PHASE:
-                engine_ids.forget(member["id"])
+            if address:
+                addresses[entry.id] = address
         return ListChange(entries, addresses, bool(change.get("complete")))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except PARSE_ERRORS as error:
         raise ProtocolError(f"malformed watch event: {error!r}") from None
 
 
-def _parse_member(member: dict[str, Any], agreement: Agreement, engine_ids: EngineIds) -> EngineEntry:
-    return EngineEntry(
+def _parse_member(
+    member: dict[str, Any], agreement: Agreement, engine_ids: EngineIds
+) -> tuple[EngineEntry, str]:
+    """Return the entry of an engine and its HOST:PORT, empty if none is stated."""
+    address = ""
+    if member.get("host_port"):
+        host, port = split_host_port(member["host_port"])
+        address = f"{host}:{port}"
+    weight = float(member.get("size") or DEFAULT_WEIGHT)
+    if not isfinite(weight) or weight < 0:
+        raise ValueError(f"size {weight} is not a number from 0 on")
+    entry = EngineEntry(
         id=engine_ids.id_for(member["id"]),
         zone=index_of(agreement.zone_names, str(member.get("locality", ""))),
-        weight=float(member.get("size") or DEFAULT_WEIGHT),
+        weight=weight,
         kind=index_of(agreement.kind_names, str(member.get("flavor", ""))),
         state=STATES_BY_PHASE[member["phase"]],
         cell=int(member.get("cell") or 0),
         started_us=int(member.get("up_since_ms") or 0) * US_PER_MS,
     )
+    if entry.state == EngineState.REMOVED:
+        engine_ids.forget(member["id"])
+    return entry, address
 
 
 class ListChangeBatch:
