--- a/gullhold/fleet/scheduled_command_client.py
+++ b/gullhold/fleet/scheduled_command_client.py
@@ -6,6 +6,7 @@
 
 from gullhold.fleet.occurrence import OccurrenceState
 from gullhold.net import US_PER_MS, thrift
+from gullhold.net.client_input import HandledInput
 from gullhold.net.pending_requests import PeerAddress
 from gullhold.net.request_reader import RequestError, RequestReader
 
@@ -63,6 +64,7 @@
         self.completed_count = 0
         self.has_left = False
         self.write_buffer = _WriteBuffer()
+        self.input = HandledInput()
         self._on_ended = on_ended
         self._random_bits = random_bits
         self._numbers = count(1)
--- a/gullhold/net/attempts.py
+++ b/gullhold/net/attempts.py
@@ -10,6 +10,7 @@
 from gullhold.net.engine_connection import Attempt, Confirmation, EngineConnection
 from gullhold.net.engine_reply import NO_RESOURCES
 from gullhold.net.eventlog import EventKind, LoggedEvent
+from gullhold.net.held_attempts import HeldAttempts
 from gullhold.net.write_buffer import Rejection, SendConditions
 
 if TYPE_CHECKING:
@@ -38,6 +39,7 @@
         self.counters = core.counters
         self.last_confirmation = 0  # number of the last confirmation that was requested
         self.page_bytes = 0  # size of all pages that are kept until their results are complete
+        self.held = HeldAttempts(core)
 
     def start(self, dispatch: Dispatch) -> None:
         """Start an attempt that the decision module has dispatched."""
@@ -46,6 +48,10 @@
         if pending is None:
             return
         attempt = Attempt(pending, pending.attempts_started, core.now)
+        attempt.engine = dispatch.engine
+        attempt.deadline_us = dispatch.deadline_us
+        attempt.send_until_us = dispatch.send_until_us
+        attempt.fencing_tokens = core.fencing_tokens()
         pending.attempts_started += 1
         if pending.attempt or not pending.client or dispatch.send_until_us <= core.now:
             self._report_never_started(attempt)
@@ -55,19 +61,43 @@
             self._log_retry(pending)
         if core.admission_queue:
             core.admission_queue.attempt_sent(dispatch.command)
+        self.send(attempt)
+
+    def send(self, attempt: Attempt) -> None:
+        """Send an attempt on a connection to its engine."""
+        core = self.core
+        pending = attempt.pending
         connection = None
-        if not pending.client.has_left:  # otherwise the event of its end is about to be handled
-            connection = core.pool.connection_for(dispatch.engine, pending.request.transaction_id)
+        if pending.client and not pending.client.has_left:  # else the event of its end is about to be handled
+            connection = core.pool.connection_for(attempt.engine, pending.request.transaction_id)
         if connection is None:
             # No descriptor or thread was left, which is not the engine's fault. Reported only after the
             # connect timeout, so that the same request is not dispatched again and again without a pause.
-            reported_at_us = min(core.now + self.agreement.connect_timeout_us, dispatch.deadline_us)
+            reported_at_us = min(core.now + self.agreement.connect_timeout_us, attempt.deadline_us)
             self.call_later(attempt, reported_at_us, self.end, attempt, Outcome.NOT_STARTED)
             return
-        attempt.deadline_us = dispatch.deadline_us
-        attempt.send_until_us = dispatch.send_until_us
-        attempt.fencing_tokens = core.fencing_tokens()
-        self._send(attempt, connection)
+        self._send_on(attempt, connection)
+
+    def not_sent(self, attempt: Attempt) -> None:
+        """Handle an attempt that no write buffer holds, as what allowed it does not hold any more.
+
+        It is held if that may only be because something of its client is not handled yet.
+        """
+        if attempt.pending.attempt is not attempt:
+            return
+        if attempt.end_offset > 0:  # it had waited in a write buffer; if it is sent later, it counts then
+            self.counters.add("attempts_withdrawn")
+            self.counters.add("attempts_sent", -1)
+            attempt.end_offset = 0
+        connection = attempt.connection
+        if connection and connection.open_attempts.get(attempt.pending.request.transaction_id) is attempt:
+            del connection.open_attempts[attempt.pending.request.transaction_id]
+        attempt.connection = None
+        attempt.is_discarded = False
+        if attempt.pending.client and self.core.pool.is_dispatch_valid(attempt):
+            self.held.hold(attempt)
+        else:
+            self.end(attempt, Outcome.NOT_STARTED)
 
     def end(self, attempt: Attempt, outcome: Outcome) -> None:
         """End an attempt and report its outcome to the decision module; further calls do nothing."""
@@ -114,6 +144,8 @@
         connection = attempt.connection
         transaction_id = attempt.pending.request.transaction_id
         self._log_abandoned(attempt, outcome)
+        if attempt.is_held:
+            outcome = Outcome.NOT_STARTED
         if connection and connection.open_attempts.get(transaction_id) is attempt:
             if attempt.is_discarded or connection.write_buffer.withdraw(attempt.message):
                 outcome = Outcome.NOT_STARTED
@@ -161,7 +193,7 @@
             *NO_RESOURCES,
         )
 
-    def _send(self, attempt: Attempt, connection: EngineConnection) -> None:
+    def _send_on(self, attempt: Attempt, connection: EngineConnection) -> None:
         core = self.core
         request = attempt.pending.request
         fixed_fields = self._fixed_fields(attempt.pending)
@@ -195,12 +227,7 @@
     def _discarded(self, attempt: Attempt) -> None:
         """From the thread that writes: an attempt that had to wait was not sent."""
         attempt.is_discarded = True
-        self.core.post_first(self._end_unsent, attempt)
-
-    def _end_unsent(self, attempt: Attempt) -> None:
-        """End an attempt that was taken out of the write buffer, as it must not be sent any more."""
-        self.counters.add("attempts_withdrawn")
-        self.end(attempt, Outcome.NOT_STARTED)
+        self.core.post_first(self.not_sent, attempt)
 
     def _take_back(self, attempt: Attempt) -> None:
         """At the time from which on an attempt must not be sent: prevent that the rest of it is."""
@@ -208,14 +235,14 @@
         if attempt.pending.attempt is not attempt or connection is None or attempt.is_discarded:
             return
         if connection.write_buffer.withdraw(attempt.message):
-            self._end_unsent(attempt)
+            self.not_sent(attempt)
         elif not connection.write_buffer.is_written(attempt.end_offset):
             self.core.pool.drop(connection, ConnectionEnd.PEER_NOT_READING)  # part of the message is sent
 
     def _handle_rejected_write(self, attempt: Attempt, connection: EngineConnection) -> None:
         """End an attempt whose fetch the write buffer did not accept."""
         if attempt.end_offset == Rejection.NOT_ALLOWED:
-            self.core.defer(self.end, attempt, Outcome.NOT_STARTED)
+            self.core.defer(self.not_sent, attempt)
             return
         connection.is_retired = True
         self.core.defer(self.end, attempt, Outcome.CONNECT_FAILED)
--- a/gullhold/net/buffer.py
+++ b/gullhold/net/buffer.py
@@ -1,7 +1,7 @@
 """The read buffer of a connection: grows as needed, is compacted in place, and shrinks when it is empty."""
 
 import socket
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from gullhold.net.connection_ends import ProtocolError
 from gullhold.net.receive_memory import ReceiveMemoryError
@@ -13,6 +13,14 @@
 INITIAL_BYTES = 4096  # a page of memory, enough for most messages
 
 
+class Readable(Protocol):
+    """What bytes can be read from, as a socket."""
+
+    def recv_into(self, buffer: memoryview, /) -> int:
+        """Read bytes into a buffer; return their number, 0 at the end of the stream."""
+        ...
+
+
 class Buffer:
     """The bytes that have arrived and are not consumed yet, data[start:end]; max_bytes: their limit.
 
@@ -37,7 +45,12 @@
     def __len__(self) -> int:
         return self.end - self.start
 
-    def receive(self, sock: socket.socket) -> int:
+    @property
+    def is_given_up(self) -> bool:
+        """Whether the next receive() raises ReceiveMemoryError."""
+        return self._is_given_up
+
+    def receive(self, sock: "Readable") -> int:
         """Read from a socket once; return the number of bytes read, 0 at the end of the stream.
 
         Raises ReceiveMemoryError if the buffer was given up.
--- a/gullhold/net/client_calls.py
+++ b/gullhold/net/client_calls.py
@@ -203,7 +203,9 @@
             self._reject(call.sequence_id, "rejected_statement_memory")
             return None
         try:
-            with self.core.reading_turns.beside_others(self.core.overload.longest_wait_s()) as may_read:
+            with self.core.reading_turns.beside_others(
+                self.client, self.core.overload.longest_wait_s()
+            ) as may_read:
                 if may_read:
                     return self._read_request(call.sequence_id, fields, statement)
         finally:
--- a/gullhold/net/client_connection.py
+++ b/gullhold/net/client_connection.py
@@ -5,9 +5,10 @@
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
-from gullhold.net import connection_ends, set_no_delay, set_read_timeout, thrift
+from gullhold.net import US_PER_S, connection_ends, set_no_delay, set_read_timeout, thrift
 from gullhold.net.backpressure import Backpressure
 from gullhold.net.client_calls import ClientCalls
+from gullhold.net.client_input import ClientInput
 from gullhold.net.client_limits import MAX_OPEN_REQUESTS, MAX_RESULT_BYTES
 from gullhold.net.connection import Connection
 from gullhold.net.connection_ends import ConnectionEnd, ProtocolError
@@ -28,6 +29,7 @@
 PAUSE_MARGIN_US = 1000  # added to a read's wait for the end of a pause, so that the pause is over then
 TRANSIT_TIME_S = 0.1  # limit of the network delay: twice the 50 ms that the protocol states
 POLL_INTERVAL_S = 0.01  # time between checks of a closing connection: far less than TRANSIT_TIME_S
+SPURIOUS_WAKE_DELAY_S = 0.001  # pause after a wait that has ended though nothing had arrived
 UNKNOWN_PEER = PeerAddress("", "")  # peer of a connection without an address, as in the simulation
 
 
@@ -38,6 +40,8 @@
     are described in pending_requests.Client. The core also uses end_requested, may_end and is_busy().
     """
 
+    open_input = ClientInput  # the simulation replaces it
+
     def __init__(
         self,
         sock: socket.socket,
@@ -47,6 +51,7 @@
         peer: PeerAddress = UNKNOWN_PEER,
     ) -> None:
         self.connection = Connection(sock)
+        self.input = self.open_input(self.connection)
         self.core = core
         self.peer = peer
         self.decoder = thrift.Decoder(max_message_bytes, core.receive_memory, self.connection)
@@ -65,6 +70,7 @@
         self.answered_check_count = 0  # those that it has answered
         self.is_ending = False  # the connection is no longer read, or is to end soon
         self.has_left = False  # the client closed it, or it broke: no answers are expected any more
+        self.has_closed = False  # the client has closed its side, by what its reader has seen
         self.is_draining = False  # the connection is to end once all its requests are answered
         self.end_requested = False  # the core was asked whether the idle connection may end
         self.may_end = False  # the core has allowed the idle connection to end
@@ -72,9 +78,7 @@
         self.backpressure = Backpressure(core.statement_memory)
         self.calls = ClientCalls(self, reader)
         self.idle_timer = IdleTimer()
-        self.read_timeout_us = MAX_READ_WAIT_US
         set_no_delay(sock)
-        set_read_timeout(sock, MAX_READ_WAIT_US)
         self.write_buffer.attach(self.connection)
 
     @property
@@ -192,15 +196,16 @@
 
     def _read(self) -> ConnectionEnd:
         while True:
+            self.input.handled()
             has_more = self._receive()
             received_at_us = self.core.clock()
             if self.write_buffer.is_finishing:
                 return ConnectionEnd.IDLE
-            if not has_more and not self.is_draining:
+            if not has_more and (self.has_closed or not self.is_draining):
                 return ConnectionEnd.CLOSED_BY_PEER
             if not has_more:
                 self._end_if_settled()
-            with self.core.reading_turns:
+            with self.core.reading_turns.turn(self, self.input.is_awaited):
                 self.calls.handle_deferred()
                 for frame in self.decoder.frames():
                     self.idle_timer.call_received()
@@ -257,22 +262,39 @@
 
         A pause only defers requests: the connection is still read, so that an interrupt or a disconnect is
         noticed before the command goes to an engine. Once no more calls can be deferred it is read slowly,
-        and TCP flow control holds the client back; a disconnect is still noticed at once.
+        and TCP flow control holds the client back; a disconnect is still noticed at once, and while the core
+        waits for what has arrived it is read at full speed.
         """
         pause_s = self.backpressure.remaining_pause_s()
-        is_pausing = pause_s > 0
-        is_full = is_pausing and self.backpressure.is_full()
-        if is_full and self.connection.has_peer_closed(min(pause_s, FULL_POLL_INTERVAL_S)):
-            return False  # unread calls do not matter: nothing is attempted for a client that has left
-        self._set_read_timeout(self._read_wait_us(pause_s))
+        if pause_s > 0 and self.backpressure.is_full():
+            self._wait_while_full(min(pause_s, FULL_POLL_INTERVAL_S))
+        if not self.input.wait(self._read_wait_us(pause_s) / US_PER_S):
+            return True
+        self.has_closed = self._has_peer_closed_orderly()
+        if self.has_closed:
+            return False  # its unread calls do not matter: nothing is attempted for a client that has left
         try:
-            count = self.decoder.buffer.receive(self.connection.sock)
+            count = self.decoder.buffer.receive(self.input)
         except BlockingIOError:
+            time.sleep(SPURIOUS_WAKE_DELAY_S)
             return True
         if count and self.core.is_rejecting:
             self._receive_rest()
         return count > 0
 
+    def _wait_while_full(self, wait_s: float) -> None:
+        """Wait until the client has closed its side, the core waits for its input, or this time is over."""
+        ends_at = time.monotonic() + wait_s
+        while not self.input.is_awaited and time.monotonic() < ends_at:
+            if self.connection.has_peer_closed(POLL_INTERVAL_S):
+                return
+
+    def _has_peer_closed_orderly(self) -> bool:
+        """Whether the client has closed its side. Where we end the connection, the read tells why."""
+        if self.decoder.buffer.is_given_up or self.write_buffer.is_finishing:
+            return False
+        return self.connection.has_peer_closed(0) if self.is_draining else self.input.has_peer_closed
+
     def _read_wait_us(self, pause_s: float) -> int:
         """Return how long the next read may wait; pause_s: the rest of the pause, 0 or less if none."""
         if pause_s <= 0:
@@ -282,11 +304,6 @@
             pause_s = min(pause_s, max(remaining_s, POLL_INTERVAL_S))
         return int(min(pause_s * 1e6 + PAUSE_MARGIN_US, MAX_READ_WAIT_US))
 
-    def _set_read_timeout(self, wait_us: int) -> None:
-        if wait_us != self.read_timeout_us:
-            self.read_timeout_us = wait_us
-            set_read_timeout(self.connection.sock, wait_us)
-
     def _receive_rest(self) -> None:
         """In the shutdown, read all that has arrived, up to a limit, so that it is answered before we end.
 
@@ -296,7 +313,7 @@
         while len(buffer) < MAX_CLOSING_READ_BYTES and self.connection.is_readable():
             if not self.core.receive_memory.has_room(MAX_CLOSING_READ_BYTES):
                 return  # what has been read is handled first
-            if not buffer.receive(self.connection.sock):
+            if not buffer.receive(self.input):
                 return
 
     def _end_when_answered(self) -> None:
--- a/gullhold/net/engine_connection.py
+++ b/gullhold/net/engine_connection.py
@@ -21,6 +21,7 @@
 from gullhold.net.write_buffer import WriteBuffer
 
 if TYPE_CHECKING:
+    from gullhold.net.client_input import InputMark
     from gullhold.net.core import Core
     from gullhold.net.pending_requests import PendingRequest
     from gullhold.net.timer_queue import Timer
@@ -53,8 +54,12 @@
         "connection",
         "deadline_us",
         "end_offset",
+        "engine",
         "fencing_tokens",
+        "held_until_us",
+        "input_mark",
         "is_discarded",
+        "is_held",
         "last_reply_at",
         "message",
         "number",
@@ -71,6 +76,7 @@
 
     def __init__(self, pending: "PendingRequest", number: int, now: int) -> None:
         self.pending = pending
+        self.engine = 0  # id of the engine that the decision module has chosen
         self.number = number
         self.sent_at = now
         self.last_reply_at = now
@@ -80,6 +86,9 @@
         self.deadline_us = 0  # time at which it is given up
         self.send_until_us = 0  # time from which on it must not be sent
         self.is_discarded = False  # the write buffer has not sent it, as its conditions did not hold any more
+        self.is_held = False  # it waits until what its client has sent is handled, and is in no write buffer
+        self.held_until_us = 0  # time at which that wait is over; 0: it was never held
+        self.input_mark: InputMark | None = None  # the point of the client's input that it waits for
         self.fencing_tokens: tuple[object, ...] = ()  # valid when the attempt was decided
         self.pages: list[bytes] = []
         self.page_count = 0
@@ -94,6 +103,9 @@
         self.message = b""
         self.pages = []
         self.timers = []
+        if self.input_mark:
+            self.input_mark.cancel()
+            self.input_mark = None
         if self.confirmation:
             self.confirmation.attempt = None
             self.confirmation = None
--- a/gullhold/net/engine_pool.py
+++ b/gullhold/net/engine_pool.py
@@ -8,6 +8,7 @@
 from gullhold.net.connection_ends import ConnectionEnd
 from gullhold.net.engine_connection import Attempt, EngineConnection, EngineEndpoint
 from gullhold.net.eventlog import EventKind, LoggedEvent
+from gullhold.net.held_attempts import client_waits
 
 if TYPE_CHECKING:
     from gullhold.net.core import Core
@@ -72,8 +73,7 @@
         for attempt in list(connection.open_attempts.values()):
             may_be_sent = self.may_be_sent(connection, attempt)
             if not may_be_sent and connection.write_buffer.withdraw(attempt.message):
-                self.counters.add("attempts_withdrawn")
-                self.core.defer(self.core.attempts.end, attempt, Outcome.NOT_STARTED)
+                self.core.defer(self.core.attempts.not_sent, attempt)
         connection.write_buffer.attach(connection.connection)
 
     def may_be_sent(self, connection: EngineConnection, attempt: Attempt) -> bool:
@@ -82,11 +82,18 @@
         Asked right before its first byte is written, which may be long after the decision: its connection may
         open late, the engine may read slowly, or the process may have been suspended.
         """
-        client = attempt.pending.client
         return (
-            client is not None
-            and not client.has_left
-            and connection.endpoint.state == EngineState.READY
+            connection.endpoint.state == EngineState.READY
+            and self.is_dispatch_valid(attempt)
+            and client_waits(attempt, self.core.clock())
+        )
+
+    def is_dispatch_valid(self, attempt: Attempt) -> bool:
+        """Whether the decision to send an attempt still holds, whatever its client does. From any thread."""
+        endpoint = self.endpoints.get(attempt.engine)
+        return (
+            endpoint is not None
+            and endpoint.state == EngineState.READY
             and self.core.clock() < attempt.send_until_us
             and self.core.are_tokens_valid(attempt.fencing_tokens)
         )
--- a/gullhold/net/pending_requests.py
+++ b/gullhold/net/pending_requests.py
@@ -6,6 +6,7 @@
 
 from gullhold.interface import Outcome
 from gullhold.net import ceil_to_ms, connection_ends, counters, thrift
+from gullhold.net.client_input import Input
 from gullhold.net.connection_ends import ConnectionEnd
 from gullhold.net.eventlog import EventKind, LoggedEvent
 from gullhold.net.request_reader import Request
@@ -45,6 +46,7 @@
     settled_count: number of requests for which an answer was decided, or which were dropped.
     completed_count: number of the settled requests whose answers were passed to put(), or which were dropped.
     has_left: the client has disconnected and no longer waits for answers.
+    input: what has arrived from it, which may hold more interrupts or its end.
     """
 
     peer: PeerAddress
@@ -54,6 +56,7 @@
     settled_count: int
     completed_count: int
     has_left: bool
+    input: Input
     write_buffer: ClientWriteBuffer
 
     def put(self, message: bytes) -> None:
--- a/gullhold/simulation/gateway.py
+++ b/gullhold/simulation/gateway.py
@@ -12,6 +12,7 @@
 from gullhold.decisions.gateway import Gateway
 from gullhold.net import event_stream, list_change
 from gullhold.net.client_connection import ClientConnection
+from gullhold.net.client_input import HandledInput
 from gullhold.net.configuration import Configuration
 from gullhold.net.connection import Connection
 from gullhold.net.connection_ends import ConnectionEnd, ProtocolError
@@ -109,9 +110,18 @@
             self.reader_ended(end, detail, self.connection)
 
 
+class SimulatedInput(HandledInput):
+    """The input of a simulated connection, which handles bytes as they arrive."""
+
+    def __init__(self, _connection: Connection) -> None:
+        """Take the argument of ClientInput."""
+
+
 class SimulatedClientConnection(ClientConnection):
     """A connection of a client; its endpoint calls it in place of a reader thread."""
 
+    open_input = SimulatedInput
+
     def __init__(self, endpoint: Endpoint, core: Core, reader: RequestReader) -> None:
         super().__init__(EndpointSocket(endpoint), core, reader, MAX_MESSAGE_BYTES)
         self.serial = next(CONNECTION_SERIALS)
@@ -130,7 +140,7 @@
             return
         try:
             self.decoder.buffer.put(data)
-            with self.core.reading_turns:
+            with self.core.reading_turns.turn(self):
                 for frame in self.decoder.frames():
                     self.calls.handle(frame, self.core.clock())
         except ProtocolError as error:
--- a/gullhold/testing/soak/mutant.py
+++ b/gullhold/testing/soak/mutant.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable
 
 from gullhold.__main__ import main
+from gullhold.net import engine_pool
+from gullhold.net.engine_connection import Attempt
 from gullhold.net.pending_requests import PendingRequest, PendingRequests
 from gullhold.net.shutdown import GracefulShutdown
 
@@ -55,13 +57,26 @@
 
 
 def ignore_leaving() -> None:
-    """Continue requests whose clients have left, so that queued ones are dispatched later."""
+    """Continue requests whose clients have left, so that queued ones are dispatched later.
+
+    The check of a client's input right before a write would keep them from being sent: it is switched off.
+    """
 
     def client_ended(_requests: PendingRequests, client: object, *_: object) -> None:
         client.has_left = False  # type: ignore[attr-defined]
         client.write_buffer.finish()  # type: ignore[attr-defined]
 
     PendingRequests.client_ended = client_ended  # type: ignore[method-assign,assignment]
+    ignore_input()
+
+
+def ignore_input() -> None:
+    """Send attempts without a look at what has arrived from their clients."""
+
+    def client_waits(attempt: Attempt, _now_us: int) -> bool:
+        return attempt.pending.client is not None
+
+    engine_pool.client_waits = client_waits
 
 
 def end_late() -> None:
@@ -80,6 +95,7 @@
     "answer_late": answer_late,
     "answer_twice": answer_twice,
     "ignore_leaving": ignore_leaving,
+    "ignore_input": ignore_input,
     "end_late": end_late,
 }
 
--- a/tests/test_engine_connections.py
+++ b/tests/test_engine_connections.py
@@ -12,6 +12,7 @@
 
 from gullhold.interface import EngineState
 from gullhold.net import connection_ends, resp
+from gullhold.net.client_input import HandledInput, InputState
 from gullhold.net.engine_connection import Attempt, EngineEndpoint
 from gullhold.testing.client import BlockingClient
 from gullhold.testing.deployment import config, endpoint_list_event
@@ -230,7 +231,15 @@
     [
         lambda attempt, _connection, _core: setattr(attempt.pending, "client", None),
         lambda attempt, _connection, _core: setattr(attempt.pending.client, "has_left", True),
+        lambda attempt, _connection, _core: attempt.pending.client.interrupted.add(1),
+        lambda attempt, _connection, _core: setattr(
+            attempt.pending.client.input, "state", lambda: InputState.UNREAD
+        ),
+        lambda attempt, _connection, _core: setattr(
+            attempt.pending.client.input, "state", lambda: InputState.CLOSED
+        ),
         lambda attempt, _connection, core: setattr(attempt, "send_until_us", core.clock()),
+        lambda _attempt, _connection, core: core.pool.endpoints.clear(),
         lambda _attempt, connection, _core: setattr(connection.endpoint, "state", EngineState.DRAINING),
         lambda _attempt, _connection, core: setattr(core.fences[0], "is_stale", True),
     ],
@@ -238,11 +247,13 @@
 def test_attempt_may_be_sent_only_while_all_that_allowed_it_holds(start_gateway, change):
     gateway, _ = start_gateway(ScriptedEngine())
     core = gateway.core
-    client = SimpleNamespace(has_left=False)
-    attempt = Attempt(SimpleNamespace(client=client), 0, core.clock())
+    client = SimpleNamespace(has_left=False, interrupted=set(), input=HandledInput())
+    attempt = Attempt(SimpleNamespace(client=client, sequence_id=1), 0, core.clock())
+    attempt.engine = 1
     attempt.send_until_us = core.clock() + 60_000_000
     connection = SimpleNamespace(endpoint=EngineEndpoint(1, "127.0.0.1:1"))
     connection.endpoint.state = EngineState.READY
+    core.pool.endpoints[1] = connection.endpoint
     attempt.fencing_tokens = ("token",)
     core.fences.append(Fence(is_stale=False))
     assert core.pool.may_be_sent(connection, attempt)
