--- a/gullhold/net/connection_ends.py
+++ b/gullhold/net/connection_ends.py
@@ -25,6 +25,7 @@
     PEER_NOT_READING = "peer_not_reading"
     IDLE = "idle"
     RETIRED = "retired"
+    REPLACED = "replaced"
     LOCAL_EXHAUSTION = "local_exhaustion"
     INTERNAL_FAULT = "internal_fault"
 
@@ -51,11 +52,12 @@
         ConnectionEnd.MALFORMED,
         ConnectionEnd.SILENT,
         ConnectionEnd.PEER_NOT_READING,
+        ConnectionEnd.REPLACED,
         ConnectionEnd.INTERNAL_FAULT,
     )
 )
 # Ends that are no fault of the peer if nothing was written.
-PEER_NOT_AT_FAULT = frozenset((ConnectionEnd.RETIRED, ConnectionEnd.LOCAL_EXHAUSTION))
+PEER_NOT_AT_FAULT = frozenset((ConnectionEnd.RETIRED, ConnectionEnd.REPLACED, ConnectionEnd.LOCAL_EXHAUSTION))
 # Ends of a client connection after which the client still waits for its answers.
 CLIENT_STILL_WAITS = frozenset((ConnectionEnd.IDLE, ConnectionEnd.MALFORMED, ConnectionEnd.INTERNAL_FAULT))
 
--- a/gullhold/net/endpoint_list.py
+++ b/gullhold/net/endpoint_list.py
@@ -3,6 +3,8 @@
 from typing import TYPE_CHECKING
 
 from gullhold.interface import EngineEntry, EngineState, Outcome
+from gullhold.net.address_owners import AddressOwners
+from gullhold.net.connection_ends import ConnectionEnd
 from gullhold.net.engine_connection import EngineEndpoint
 from gullhold.net.start_times import StartTimes
 
@@ -17,6 +19,7 @@
         self.core = core
         self.endpoints = core.pool.endpoints
         self.start_times = StartTimes()
+        self.address_owners = AddressOwners()
         # Whether the configuration's list was applied; all later changes are watch events.
         self.has_initial_list = False
 
@@ -27,7 +30,9 @@
 
         is_complete: the change is a complete list: engines that are not among the entries are removed.
         """
-        self._update_addresses(addresses)
+        entries, replaced = self.address_owners.resolve(entries, addresses, is_complete)
+        listed = {entry.id for entry in entries}
+        self._update_addresses({each: address for each, address in addresses.items() if each in listed})
         entries = self.start_times.correct(self.core.now, entries, self.has_initial_list)
         self.core.counters.add("endpoint_list_events", event_count)
         states = {entry.id: entry.state for entry in entries}
@@ -36,6 +41,8 @@
             endpoint = self.endpoints.get(engine_id)
             if endpoint is not None:
                 self._update_state(endpoint, states.get(engine_id, EngineState.REMOVED))
+        for engine_id in replaced:
+            self._drop_connections(engine_id)
         self.core.decisions.call(None, self.core.gateway.update_engines, entries, is_complete)
 
     def forget_if_removed(self, endpoint: EngineEndpoint) -> None:
@@ -60,6 +67,12 @@
             self._withdraw_unsent(endpoint)
         self.forget_if_removed(endpoint)
 
+    def _drop_connections(self, engine_id: int) -> None:
+        """End the connections to an engine that another one has replaced: its process has ended."""
+        endpoint = self.endpoints.get(engine_id)
+        for connection in list(endpoint.connections) if endpoint else ():
+            self.core.pool.drop(connection, ConnectionEnd.REPLACED)
+
     def _withdraw_unsent(self, endpoint: EngineEndpoint) -> None:
         """End the attempts of which nothing was sent yet: they must not be sent to this engine any more."""
         for connection in list(endpoint.connections):
