A client that writes without end holds up neither others nor itself for long

Change: an attempt is held for 0.25 s in all; when that is reached, nothing is held for its client for a second. While others wait, every second turn at most is that of a reader that goes first.

--- a/gullhold/net/client_input.py
+++ b/gullhold/net/client_input.py
@@ -49,7 +49,12 @@
 
 
 class Input(Protocol):
-    """The input of a client, as the core sees it."""
+    """The input of a client, as the core sees it.
+
+    may_be_unread_until_us: until then the core sends attempts though something is unread.
+    """
+
+    may_be_unread_until_us: int
 
     def state(self) -> InputState:
         """Return how far the input is handled. From any thread."""
@@ -66,6 +71,8 @@
 class HandledInput:
     """The input of a client without a connection: nothing is ever unread."""
 
+    may_be_unread_until_us = 0
+
     def state(self) -> InputState:
         """Return HANDLED."""
         return InputState.HANDLED
@@ -85,6 +92,7 @@
     def __init__(self, connection: Connection) -> None:
         self.is_idle = True
         self.read_bytes = 0
+        self.may_be_unread_until_us = 0  # set by the core
         self.has_peer_closed = False  # at the last wait, the client had closed its side in an orderly way
         self._connection = connection
         self._marks: deque[InputMark] = deque()
--- a/gullhold/net/engine_connection.py
+++ b/gullhold/net/engine_connection.py
@@ -87,7 +87,7 @@
         self.send_until_us = 0  # time from which on it must not be sent
         self.is_discarded = False  # the write buffer has not sent it, as its conditions did not hold any more
         self.is_held = False  # it waits until what its client has sent is handled, and is in no write buffer
-        self.held_until_us = 0  # time at which that wait is over; 0: it was never held
+        self.held_until_us = 0  # time at which that wait is over in any case; 0: none is set
         self.input_mark: InputMark | None = None  # the point of the client's input that it waits for
         self.fencing_tokens: tuple[object, ...] = ()  # valid when the attempt was decided
         self.pages: list[bytes] = []
--- a/gullhold/net/held_attempts.py
+++ b/gullhold/net/held_attempts.py
@@ -14,9 +14,11 @@
     from gullhold.net.core import Core
     from gullhold.net.engine_connection import Attempt
 
-# Longest wait for the reader: far more than it takes for all that fits the buffer of a socket. A client that
-# writes without end delays its own requests, and the engine's slots that they hold, by no more.
+# Longest wait for the reader: far more than it takes for all that fits the buffers of a socket.
 MAX_INPUT_WAIT_US = 250_000
+# For so long after such a wait nothing is held for the same client. It writes without end, and its attempts
+# would hold slots of the engines that others need.
+NO_HOLD_US = 1_000_000
 
 
 def client_waits(attempt: "Attempt", now_us: int) -> bool:
@@ -26,8 +28,8 @@
     if client is None:
         return False
     state = client.input.state()
-    is_limit_reached = state == InputState.UNREAD and 0 < attempt.held_until_us <= now_us
-    if state != InputState.HANDLED and not is_limit_reached:
+    may_be_unread = now_us < client.input.may_be_unread_until_us
+    if state == InputState.CLOSED or (state == InputState.UNREAD and not may_be_unread):
         return False
     # Only now: the reader may have handled an interrupt or the end just before the state was taken.
     return not (client.has_left or pending.sequence_id in client.interrupted)
@@ -46,14 +48,24 @@
         assert client is not None, "an attempt of a settled request is not held"
         core.counters.add("attempts_held")
         attempt.is_held = True
-        attempt.held_until_us = core.now + MAX_INPUT_WAIT_US
-        core.attempts.call_later(attempt, attempt.held_until_us, self._resume, attempt)
+        if not attempt.held_until_us:
+            attempt.held_until_us = core.now + MAX_INPUT_WAIT_US
+            core.attempts.call_later(attempt, attempt.held_until_us, self._limit_reached, attempt)
         attempt.input_mark = client.input.mark(partial(core.post_first, self._resume, attempt))
         core.reading_turns.let_first(client)
         is_event_due = client.has_left or attempt.pending.sequence_id in client.interrupted
         if attempt.input_mark is None and not is_event_due:
             core.defer(self._resume, attempt)
 
+    def _limit_reached(self, attempt: "Attempt") -> None:
+        """Send an attempt that is still held, and hold none of its client for a while."""
+        attempt.held_until_us = 0
+        client = attempt.pending.client
+        if client and attempt.is_held:
+            client.input.may_be_unread_until_us = self.core.now + NO_HOLD_US
+            self.core.counters.add("attempts_held_too_long")
+        self._resume(attempt)
+
     def _resume(self, attempt: "Attempt") -> None:
         """Send an attempt that is held, or end it if its client no longer waits."""
         if attempt.pending.attempt is not attempt or not attempt.is_held:
--- a/gullhold/net/reading_turns.py
+++ b/gullhold/net/reading_turns.py
@@ -11,6 +11,9 @@
 class ReadingTurns:
     """Lets one reader thread at a time handle its calls, in order of arrival but for those that go first.
 
+    While others wait, at most every second turn is that of one that goes first: a client that writes without
+    end may have its reader go first again and again.
+
     With hundreds of them running at once the core's thread would hardly get the interpreter lock. Only a long
     statement is read beside the turn, one at a time, so that a message with one delays no other reader.
 
@@ -20,7 +23,10 @@
     def __init__(self) -> None:
         self._lock = Lock()
         self._is_taken = False
-        self._waiting: OrderedDict[object, Lock] = OrderedDict()  # a locked lock for each waiting reader
+        # A locked lock for each waiting reader.
+        self._waiting: OrderedDict[object, Lock] = OrderedDict()
+        self._waiting_first: OrderedDict[object, Lock] = OrderedDict()
+        self._was_first = False  # the present turn was given to one that goes first
         self._long_statement = Lock()
 
     @contextmanager
@@ -35,8 +41,9 @@
     def let_first(self, reader: object) -> None:
         """Let a reader go first if it waits for a turn. From any thread."""
         with self._lock:
-            if reader in self._waiting:
-                self._waiting.move_to_end(reader, last=False)
+            gate = self._waiting.pop(reader, None)
+            if gate is not None:
+                self._waiting_first[reader] = gate
 
     @contextmanager
     def beside_others(self, reader: object, wait_s: float) -> Iterator[bool]:
@@ -60,15 +67,16 @@
                 return
             gate = Lock()
             gate.acquire()
-            self._waiting[reader] = gate
-            if goes_first:
-                self._waiting.move_to_end(reader, last=False)
+            waiting = self._waiting_first if goes_first else self._waiting
+            waiting[reader] = gate
         gate.acquire()  # until the turn is handed over
 
     def _release(self) -> None:
         with self._lock:
-            if self._waiting:
-                _, gate = self._waiting.popitem(last=False)
+            self._was_first = bool(self._waiting_first) and not (self._was_first and self._waiting)
+            waiting = self._waiting_first if self._was_first else self._waiting
+            if waiting:
+                _, gate = waiting.popitem(last=False)
                 gate.release()
             else:
                 self._is_taken = False
