--- a/gullhold/net/pending_requests.py
+++ b/gullhold/net/pending_requests.py
@@ -10,6 +10,7 @@
 from gullhold.net.connection_ends import ConnectionEnd
 from gullhold.net.eventlog import EventKind, LoggedEvent
 from gullhold.net.request_reader import Request
+from gullhold.net.transaction_ids import AbandonedIds
 
 if TYPE_CHECKING:
     from gullhold.net.core import Core
@@ -113,6 +114,8 @@
         self.counters = core.counters
         self.by_number: dict[int, PendingRequest] = {}
         self.by_transaction_id: dict[bytes, PendingRequest] = {}
+        longest_timeout_us = max((each.timeout_us for each in core.agreement.profiles), default=0)
+        self.abandoned_ids = AbandonedIds(longest_timeout_us)
         self.last_number = 0
         self.settled_at_us = 0  # when a request was last settled
 
@@ -140,6 +143,9 @@
         elif request.transaction_id in self.by_transaction_id:
             self.counters.add(counters.FAILED)
             self.answer(pending, thrift.encode_fault(sequence_id, "this txn is open already"))
+        elif self.abandoned_ids.holds(request.transaction_id, self.core.now):
+            self.counters.add(counters.FAILED)
+            self.answer(pending, thrift.encode_fault(sequence_id, "this txn may have run already"))
         elif self.core.is_rejecting or self.is_over_open_limit():
             self.counters.add("rejected_open_limit")
             self.answer(pending, thrift.encode_shed(sequence_id, {}))
@@ -305,6 +311,8 @@
         for pending in abandoned:
             self._mark_settled(pending).completed_count += 1
         for pending in abandoned:
+            if pending.attempts_started:
+                self.abandoned_ids.add(pending.request.transaction_id, self.core.now)
             is_queued = self.core.admission.is_queued(pending.number)
             if not is_queued:
                 self.core.decisions.call(pending, self.core.gateway.client_left, pending.number)
--- a/tests/test_client_disconnect.py
+++ b/tests/test_client_disconnect.py
@@ -8,6 +8,7 @@
 from serving import Gateway, open_sequence_ids, until
 
 from gullhold.net import backpressure, client_limits, thrift
+from gullhold.net.transaction_ids import MAX_REMEMBERED_IDS, AbandonedIds
 from gullhold.testing.client import BlockingClient
 from gullhold.testing.deployment import config, endpoint_list_event
 from gullhold.testing.discovery_service import DiscoveryService
@@ -258,3 +259,49 @@
     time.sleep(0.2)
     assert gateway.count("attempts_sent") == gateway.count("attempts_ended_overloaded")
     assert len(engine.messages(b"fetch")) == gateway.count("attempts_ended_overloaded")
+
+
+@pytest.mark.parametrize("action", ["closes", "interrupts"])
+def test_an_id_that_may_have_run_is_not_run_again_when_it_comes_after_its_client_has_left(
+    start_gateway, action
+):
+    """Guards against a command that runs twice, as the gateway has forgotten the first one (picture c)."""
+    engine = ScriptedEngine(never_finish, serve_pages())
+    gateway, client = start_gateway(engine)
+    seq = client.send_command("once", txn=b"f%015x" % 1)
+    until(lambda: engine.messages(b"fetch"))
+    if action == "closes":
+        client.sock.close()
+    else:
+        client.interrupt(seq)
+    until(lambda: not gateway.core.requests.by_number)
+    again = BlockingClient(gateway.address)
+    seq = again.send_command("once", txn=b"f%015x" % 1)
+    assert again.read_answer() == (seq, "fault")
+    seq = again.send_command("once", txn=b"f%015x" % 2)
+    assert again.read_answer() == (seq, b"a\tb\tc\n")
+    assert [words[2] for words in engine.messages(b"fetch")] == [b"f%015x" % 1, b"f%015x" % 2]
+
+
+def test_an_id_that_was_never_sent_may_come_again(gateway_without_engines):
+    gateway, client, discovery = gateway_without_engines()
+    client.interrupt(client.send_command(txn=b"f%015x" % 1))
+    until(lambda: gateway.count("interrupted") == 1)
+    engine = ScriptedEngine()
+    discovery.send(endpoint_list_event(2, ("s-0", engine.address, "ready")))
+    seq = client.send_command(txn=b"f%015x" % 1)
+    assert client.read_answer() == (seq, b"a\tb\tc\n")
+    engine.close()
+
+
+def test_abandoned_ids_are_remembered_for_a_time_and_in_bounded_memory():
+    ids = AbandonedIds(remembered_us=100)
+    ids.add(b"a", 0)
+    assert ids.holds(b"a", 99)
+    assert not ids.holds(b"a", 100)
+    ids.add(b"b", 100)
+    assert len(ids) == 1
+    for number in range(2 * MAX_REMEMBERED_IDS):
+        ids.add(b"%d" % number, 101)
+    assert len(ids) == MAX_REMEMBERED_IDS
+    assert ids.holds(b"%d" % (2 * MAX_REMEMBERED_IDS - 1), 150)
