A held attempt ends when it may not be sent any more; a test looks at a moment

`request was not answered in time` in the crowd: an attempt that was held when its time was over waited for the rest of the 0.25 s, and the guard had to answer at the client timeout. The limit is now the last moment to send, too. The test waits for a buffer to wait, as long as it did for the opposite; that is as strict, as nothing reads and it can't be written.

--- a/gullhold/net/held_attempts.py
+++ b/gullhold/net/held_attempts.py
@@ -58,7 +58,7 @@
             core.defer(self._resume, attempt)
 
     def _set_limit(self, attempt: "Attempt") -> None:
-        attempt.held_until_us = self.core.now + MAX_INPUT_WAIT_US
+        attempt.held_until_us = min(self.core.now + MAX_INPUT_WAIT_US, attempt.send_until_us)
         self.core.attempts.call_later(attempt, attempt.held_until_us, self._limit_reached, attempt)
 
     def _limit_reached(self, attempt: "Attempt") -> None:
@@ -66,7 +66,7 @@
 
         If this call is late, the process has stood still, and so has the reader: it gets the time anew.
         """
-        if self.core.now > attempt.held_until_us + STALL_US:
+        if attempt.held_until_us + STALL_US < self.core.now < attempt.send_until_us:
             self._set_limit(attempt)
             return
         attempt.held_until_us = 0
--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -405,3 +405,14 @@
     assert order == ["c", "a", "d", "b"]  # of those that go first, every second turn at most
     with turns.turn("again"):
         pass
+
+
+def test_an_attempt_is_held_no_longer_than_its_request_may_wait(start_gateway, monkeypatch):
+    """Guards against a request that only its guard answers at the client timeout."""
+    monkeypatch.setattr(ClientInput, "state", lambda _input: InputState.UNREAD)
+    monkeypatch.setattr(ClientInput, "mark", lambda _input, call: client_input.InputMark(call, 0, None))
+    monkeypatch.setattr(held_attempts, "MAX_INPUT_WAIT_US", 60_000_000)
+    gateway, client = start_gateway(ScriptedEngine())
+    seq = client.send_command(limit=600)
+    assert client.read_answer() == (seq, "shed")
+    assert not gateway.count("requests_overdue")
--- a/tests/test_write_buffer.py
+++ b/tests/test_write_buffer.py
@@ -55,7 +55,7 @@
     write_buffer.attach(connection)
     assert write_buffer.put(b"x" * 9_000_000) > 0
     assert write_buffer.put(b"x" * 9_000_000) == -1
-    assert write_buffer.flusher.waiting
+    until(lambda: write_buffer.flusher.waiting)  # but for moments in which its thread looks at it
     assert write_buffer.finish(now=True)
     until(lambda: not write_buffer.flusher.waiting)
     assert ours.recv(1) == b""  # a reader thread blocked here would wake
