The test of a late limit calls it late: the one before passed without the fix, too

With the core blocked for 0.5 s the decisions cancelled the attempt as slow before its limit was looked at, so the test of passed with the late check taken out. Now the limit is called as by a late timer: without the check the attempt is sent.

--- a/tests/test_client_input.py
+++ b/tests/test_client_input.py
@@ -17,6 +17,7 @@
 from gullhold.net import backpressure, client_input, held_attempts
 from gullhold.net.client_input import ClientInput, InputState
 from gullhold.net.connection import Connection
+from gullhold.net.event_loop import STALL_US
 from gullhold.net.reading_turns import ReadingTurns
 from gullhold.testing.client import BlockingClient
 from gullhold.testing.deployment import config, endpoint_list_event
@@ -224,9 +225,15 @@
     waiting.client.interrupt(77)  # of no request
     waiting.list_engine()
     until(lambda: waiting.gateway.count("attempts_held"))
-    waiting.gateway.core.post(time.sleep, 0.5)  # longer than the limit
+    core = waiting.gateway.core
+    (pending,) = core.requests.by_number.values()
+    attempt = pending.attempt
+    attempt.held_until_us -= 10 * STALL_US  # as if the timer were late
+    core.post(core.attempts.held._limit_reached, attempt)
     waiting.client.interrupt(waiting.seq)
-    time.sleep(0.55)
+    time.sleep(0.05)
+    assert attempt.is_held
+    assert not waiting.engine.messages(b"fetch")
     readers.released.set()
     expect_only_other(waiting)
 
